--- /dev/null
+++ b/Makefile
@@ -0,0 +1,28 @@
+GO ?= go
+BIN := bin
+LINTER := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
+
+.PHONY: build test lint format demo bench clean
+
+build:
+	$(GO) build -o $(BIN)/trefoilspring .
+	$(GO) build -o $(BIN)/standin ./standin
+
+test: build
+	$(GO) vet ./...
+	./script/test
+
+lint:
+	$(GO) run $(LINTER) run ./...
+
+format:
+	$(GO) run $(LINTER) fmt ./...
+
+demo: build
+	./script/demo
+
+bench: build
+	$(GO) test -run '^$$' -bench . -benchmem ./...
+
+clean:
+	rm -rf $(BIN) out
--- /dev/null
+++ b/version.go
@@ -0,0 +1,4 @@
+package main
+
+// version is the release that this tree leads to.
+const version = "0.1.0"
