Apply the operators' folder through the platform

Accepted means that the compare-and-swap succeeded. Package watcher takes up records and never goes back.

--- /dev/null
+++ b/cmd_apply.go
@@ -0,0 +1,66 @@
+package main
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/urfave/cli/v3"
+
+	"trefoilspring.example/trefoilspring/operator"
+	"trefoilspring.example/trefoilspring/publisher"
+)
+
+func cmdApply() *cli.Command {
+	return &cli.Command{
+		Name:  "apply",
+		Usage: "put a folder in force; running it again changes nothing",
+		Description: "Example:\n  trefoilspring apply --folder config --platform http://127.0.0.1:8500 --based-on 7\n\n" +
+			exitHelp,
+		Flags: []cli.Flag{
+			folderFlag(), platformFlag(), authorFlag(), basedOnFlag(), allowLargeChangeFlag(), outputFlag(),
+		},
+		OnUsageError: usageError,
+		Action: func(ctx context.Context, c *cli.Command) error {
+			return withExitCode(apply(ctx, c))
+		},
+	}
+}
+
+func apply(ctx context.Context, c *cli.Command) error {
+	d, err := operator.LoadFolder(c.String(folderName))
+	if err != nil {
+		return err
+	}
+	proposal := proposalOf(c)
+	proposal.Document = d
+	result, err := newPublisher(c).Publish(ctx, proposal)
+	if err != nil {
+		return err
+	}
+	return output(c, acceptedOf(result))
+}
+
+// accepted is the outcome of a change.
+type accepted struct {
+	Changed  bool   `json:"changed"`
+	Revision uint64 `json:"revision"`
+	ChangeID string `json:"change-id"`
+	Digest   string `json:"digest"`
+}
+
+func acceptedOf(r publisher.Result) accepted {
+	return accepted{
+		Changed:  r.Changed,
+		Revision: r.Record.Revision,
+		ChangeID: r.Record.ChangeID,
+		Digest:   r.Record.Digest,
+	}
+}
+
+// String says the outcome in words.
+func (a accepted) String() string {
+	if !a.Changed {
+		return fmt.Sprintf("no change: revision %d, change %s\n", a.Revision, a.ChangeID)
+	}
+	return fmt.Sprintf("accepted: revision %d, change %s\n", a.Revision, a.ChangeID)
+}
--- a/commands.go
+++ b/commands.go
@@ -9,12 +9,22 @@
 
 // Exit codes of the command, for scheduled jobs.
 const (
-	exitFailed = 1
+	exitFailed   = 1
+	exitUsage    = 2
+	exitConflict = 3
+	exitUnknown  = 4
+	exitRefused  = 5
 )
 
 // commands lists the subcommands in the order in which help shows them.
 func commands() []*cli.Command {
-	return []*cli.Command{}
+	return []*cli.Command{
+		cmdCheck(),
+		cmdDiff(),
+		cmdApply(),
+		cmdHistory(),
+		cmdRollback(),
+	}
 }
 
 func root() *cli.Command {
--- /dev/null
+++ b/exit.go
@@ -0,0 +1,66 @@
+package main
+
+import (
+	"github.com/cockroachdb/errors"
+
+	"trefoilspring.example/trefoilspring/loader"
+	"trefoilspring.example/trefoilspring/operator"
+	"trefoilspring.example/trefoilspring/publisher"
+)
+
+// exitHelp documents the exit codes in the help of the operators' commands.
+const exitHelp = `Exit codes: 0 done or nothing to do, 1 failed and not in force, 2 usage or
+invalid input, 3 conflict with another change, 4 outcome unknown, 5 refused by
+the guard against large changes.`
+
+// codedError is an error with an exit code.
+type codedError struct {
+	code  int
+	cause error
+}
+
+// ExitCode returns the exit code of the process.
+func (e *codedError) ExitCode() int { return e.code }
+
+// Unwrap returns the cause.
+func (e *codedError) Unwrap() error { return e.cause }
+
+func (e *codedError) Error() string { return e.cause.Error() }
+
+// withExitCode adds the exit code to an error of the operators' commands.
+func withExitCode(err error) error {
+	if err == nil {
+		return nil
+	}
+	return &codedError{code: operatorExitCode(err), cause: err}
+}
+
+func operatorExitCode(err error) int {
+	var race *publisher.RaceError
+	var unknown *publisher.OutcomeUnknownError
+	var loss *operator.LossError
+	switch {
+	case errors.As(err, &race):
+		return exitConflict
+	case errors.As(err, &unknown):
+		return exitUnknown
+	case errors.As(err, &loss):
+		return exitRefused
+	case isInvalid(err):
+		return exitUsage
+	}
+	return exitFailed
+}
+
+// isInvalid reports whether err is a fault of the operators' input.
+func isInvalid(err error) bool {
+	var file *operator.FileError
+	var document *operator.DocumentError
+	var syntax *loader.SyntaxError
+	var none *publisher.NoRevisionError
+	var record *publisher.RecordError
+	if errors.As(err, &record) {
+		return false
+	}
+	return errors.As(err, &file) || errors.As(err, &document) || errors.As(err, &syntax) || errors.As(err, &none)
+}
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -20,6 +20,7 @@
 	"fmt"
 	"os"
 	"reflect"
+	"slices"
 	"strings"
 
 	"github.com/cockroachdb/errors"
@@ -96,10 +97,19 @@
 
 // Decode reads data into v and checks its values; path only serves the errors.
 func Decode(path string, data []byte, v any) error {
+	if err := Strict(path, data, v); err != nil {
+		return err
+	}
+	return Check(path, v)
+}
+
+// Strict reads data into v without checking its values; path only serves the
+// errors.
+func Strict(path string, data []byte, v any) error {
 	if err := json.Unmarshal(data, v, json.RejectUnknownMembers(true)); err != nil {
 		return syntaxError(path, data, err)
 	}
-	return Check(path, v)
+	return nil
 }
 
 // Check checks the values of v by their validate tags.
@@ -109,7 +119,10 @@
 	if !errors.As(err, &fields) {
 		return err
 	}
-	first := fields[0]
+	// Maps are checked in no fixed order.
+	first := slices.MinFunc(fields, func(a, b validator.FieldError) int {
+		return strings.Compare(a.Namespace(), b.Namespace())
+	})
 	_, key, _ := strings.Cut(first.Namespace(), ".")
 	rule := first.Tag()
 	if first.Param() != "" {
--- a/standin/keeper/server.go
+++ b/standin/keeper/server.go
@@ -62,7 +62,7 @@
 	mux.HandleFunc("POST /switch", func(w http.ResponseWriter, r *http.Request) {
 		err := r.ParseForm()
 		if err == nil {
-			err = s.apply(r.Form)
+			err = s.Switch(r.Form)
 		}
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
--- a/standin/keeper/switches.go
+++ b/standin/keeper/switches.go
@@ -54,8 +54,8 @@
 	return limit == nil || limit.Allow()
 }
 
-// apply sets the switches named in values.
-func (s *Server) apply(values url.Values) error {
+// Switch sets the switches named in values, as POST /switch does.
+func (s *Server) Switch(values url.Values) error {
 	for name := range values {
 		set, ok := setters[name]
 		if !ok {
--- /dev/null
+++ b/watcher/watcher.go
@@ -0,0 +1,179 @@
+package watcher
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+
+	"trefoilspring.example/trefoilspring/platform"
+	"trefoilspring.example/trefoilspring/publisher"
+)
+
+const (
+	firstRetry = 100 * time.Millisecond
+	maxRetry   = 3 * time.Second
+)
+
+// Watcher watches the accepted record. Its methods may be called from several
+// goroutines; its fields are set before Run or Tell is called.
+type Watcher struct {
+	store *platform.Store
+
+	// OnDocument is called with each record that comes in force, one at a time
+	// and with growing revisions.
+	OnDocument func(publisher.Record)
+	// Wait is how long one query waits for a change.
+	Wait time.Duration
+	// Log gets one line for each change of state.
+	Log *slog.Logger
+
+	mu       sync.Mutex
+	core     Core
+	record   publisher.Record
+	invalid  uint64
+	failures uint64
+}
+
+// New returns a watcher of the store.
+func New(store *platform.Store) *Watcher {
+	return &Watcher{
+		store:      store,
+		OnDocument: func(publisher.Record) {},
+		Wait:       platform.DefaultWait,
+		Log:        slog.New(slog.DiscardHandler),
+	}
+}
+
+// Run watches the platform until ctx is done, through its outages.
+func (w *Watcher) Run(ctx context.Context) error {
+	retry := newRetry()
+	state := poll{}
+	for ctx.Err() == nil {
+		if w.query(ctx, &state) {
+			retry.Reset()
+			continue
+		}
+		w.pause(ctx, retry.NextBackOff())
+	}
+	return nil
+}
+
+// poll is what one query leaves for the next.
+type poll struct {
+	after   uint64
+	failing bool
+}
+
+// query waits for a change once, and reports whether the platform answered.
+func (w *Watcher) query(ctx context.Context, state *poll) bool {
+	entry, err := w.store.Watch(ctx, publisher.DocumentKey, state.after, w.Wait)
+	if ctx.Err() != nil {
+		return false
+	}
+	w.logTurn(&state.failing, err)
+	if err != nil {
+		// After a failure the record is read at once, as it may have changed.
+		state.after = 0
+		return false
+	}
+	state.after = platform.NextIndex(state.after, entry.StoreIndex())
+	if entry.Found() {
+		w.read(entry)
+	}
+	return true
+}
+
+// Tell offers a record that a peer has told.
+func (w *Watcher) Tell(r publisher.Record) Verdict {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	before := w.core.Revision()
+	verdict := w.core.Offer(r.Revision, r.ChangeID)
+	switch verdict {
+	case Taken:
+		w.record = r
+		w.Log.Info("revision in force", "revision", r.Revision, "change-id", r.ChangeID)
+		w.OnDocument(r)
+	case Forked:
+		w.Log.Error("two changes have one revision", "revision", r.Revision, "change-id", r.ChangeID)
+	case Older:
+		w.Log.Warn("earlier revision ignored", "revision", r.Revision, "in-force", before)
+	case Same:
+	}
+	return verdict
+}
+
+// Record returns the record in force; its revision is 0 if there is none.
+func (w *Watcher) Record() publisher.Record {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.record
+}
+
+// Counts returns the number of offers for each verdict.
+func (w *Watcher) Counts() Counts {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.core.Counts()
+}
+
+// Invalid returns how many records were refused as invalid.
+func (w *Watcher) Invalid() uint64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.invalid
+}
+
+// Failures returns how many queries the platform failed to answer.
+func (w *Watcher) Failures() uint64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.failures
+}
+
+func (w *Watcher) read(entry platform.Entry) {
+	r, err := publisher.Decode(entry.Value())
+	if err != nil {
+		w.mu.Lock()
+		w.invalid++
+		w.mu.Unlock()
+		w.Log.Error("invalid record ignored", "error", err)
+		return
+	}
+	w.Tell(r)
+}
+
+// logTurn counts a failure, and logs when the platform fails or comes back.
+func (w *Watcher) logTurn(failing *bool, err error) {
+	if err != nil {
+		w.mu.Lock()
+		w.failures++
+		w.mu.Unlock()
+	}
+	switch {
+	case err != nil && !*failing:
+		w.Log.Warn("platform fails", "error", err)
+	case err == nil && *failing:
+		w.Log.Info("platform answers again")
+	}
+	*failing = err != nil
+}
+
+func (w *Watcher) pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+func newRetry() *backoff.ExponentialBackOff {
+	retry := backoff.NewExponentialBackOff()
+	retry.InitialInterval = firstRetry
+	retry.MaxInterval = maxRetry
+	return retry
+}
--- /dev/null
+++ b/watcher/watcher_test.go
@@ -0,0 +1,106 @@
+package watcher_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"net/url"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
+
+	"trefoilspring.example/trefoilspring/operator"
+	"trefoilspring.example/trefoilspring/platform"
+	"trefoilspring.example/trefoilspring/publisher"
+	"trefoilspring.example/trefoilspring/standin/keeper"
+	"trefoilspring.example/trefoilspring/watcher"
+)
+
+func TestCoreNeverGoesBack(t *testing.T) {
+	is := is.New(t)
+	var c watcher.Core
+	is.Equal(c.Offer(3, "c"), watcher.Taken)
+	is.Equal(c.Offer(2, "b"), watcher.Older)
+	is.Equal(c.Offer(3, "c"), watcher.Same)
+	is.Equal(c.Offer(3, "x"), watcher.Forked)
+	is.Equal(c.Offer(9, "i"), watcher.Taken)
+	is.Equal(c.Revision(), uint64(9))
+	is.Equal(c.ChangeID(), "i")
+	is.Equal(c.Counts(), watcher.Counts{Taken: 2, Same: 1, Older: 1, Forked: 1})
+}
+
+func document(name string) operator.Document {
+	return operator.Document{AvailabilityZones: map[string]operator.AvailabilityZone{name: {State: operator.ZoneIn}}}
+}
+
+// The daemon keeps its revision through an outage and a restore of the platform,
+// and takes up what is accepted afterwards.
+func TestRunThroughOutageAndRestore(t *testing.T) {
+	is := is.New(t)
+	k := keeper.New()
+	api := httptest.NewServer(k.API())
+	defer api.Close()
+	defer api.CloseClientConnections()
+	store := platform.New(api.URL)
+	p := publisher.New(store, "test")
+	seen := make(chan publisher.Record, 16)
+	w := watcher.New(store)
+	w.OnDocument = func(r publisher.Record) { seen <- r }
+	ctx, cancel := context.WithCancel(t.Context())
+	var group errgroup.Group
+	group.Go(func() error { return w.Run(ctx) })
+	defer func() {
+		cancel()
+		is.NoErr(group.Wait())
+	}()
+
+	publish := func(name string) {
+		_, err := p.Publish(ctx, publisher.Proposal{Document: document(name)})
+		is.NoErr(err)
+	}
+	publish("one")
+	is.Equal((<-seen).Revision, uint64(1))
+	is.NoErr(k.Switch(url.Values{"save": {"1"}}))
+	publish("two")
+	is.Equal((<-seen).Revision, uint64(2))
+	is.NoErr(k.Switch(url.Values{"outage": {"on"}}))
+	waitFor(t, func() bool { return w.Failures() > 1 })
+	is.Equal(w.Record().Revision, uint64(2))
+	is.NoErr(k.Switch(url.Values{"restore": {"1"}}))
+	is.NoErr(k.Switch(url.Values{"outage": {"off"}}))
+	waitFor(t, func() bool { return w.Counts().Older > 0 })
+	is.Equal(w.Record().Revision, uint64(2))
+	publish("two")
+	publish("three")
+	is.Equal((<-seen).Revision, uint64(3))
+}
+
+func TestInvalidRecordIsIgnored(t *testing.T) {
+	is := is.New(t)
+	k := keeper.New()
+	api := httptest.NewServer(k.API())
+	defer api.Close()
+	defer api.CloseClientConnections()
+	store := platform.New(api.URL)
+	is.NoErr(store.CompareAndSwap(t.Context(), publisher.DocumentKey, 0, []byte(`{"revision":1`)))
+	w := watcher.New(store)
+	ctx, cancel := context.WithCancel(t.Context())
+	var group errgroup.Group
+	group.Go(func() error { return w.Run(ctx) })
+	waitFor(t, func() bool { return w.Invalid() == 1 })
+	is.Equal(w.Record().Revision, uint64(0))
+	cancel()
+	is.NoErr(group.Wait())
+}
+
+func waitFor(t *testing.T, done func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(20 * time.Second)
+	for !done() {
+		if time.Now().After(deadline) {
+			t.Fatal("the condition was not met in time")
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
