Stand in for the fabric, the targets and the callers

Cause: the whole path needs real connections on both ends. Ruled out: learning callers by whatever the fabric sees, since a target's reply to an unknown caller would be sprayed back to the balancers for ever; prefixes of callers are settings instead.

Figures: over a relay in place of a balancer, race detector on, 1 s of 4 streams and 20 short requests a second over IPv4 and over IPv6: all requests answered, no promise broken.

--- /dev/null
+++ b/standin/arranger/balancers.go
@@ -0,0 +1,105 @@
+package arranger
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	"trefoilspring.example/trefoilspring/operator"
+)
+
+// drainTime is how long a balancer that stops goes on forwarding.
+const drainTime = 3 * time.Second
+
+// balancerCount is the number of balancers.
+const balancerCount = 13
+
+// balancer is one balancer of the deployment.
+type balancer struct {
+	name, zone        string
+	data, peer, admin netip.AddrPort
+}
+
+func (p Plan) balancers() []balancer {
+	all := make([]balancer, 0, balancerCount)
+	for i := range balancerCount {
+		zone := zones()[i%len(zones())]
+		port := balancerPorts + portsEach*i
+		all = append(all, balancer{
+			name: fmt.Sprintf("lb-%s-%d", zone, i/len(zones())+1), zone: zone,
+			data: p.port(port), peer: p.port(port + 1), admin: p.port(port + 2),
+		})
+	}
+	return all
+}
+
+// balancerSettings are the settings that `trefoilspring serve` reads.
+type balancerSettings struct {
+	Name             string            `json:"name"`
+	AvailabilityZone string            `json:"availability-zone"`
+	DataAddress      netip.AddrPort    `json:"data-address"`
+	PeerAddress      netip.AddrPort    `json:"peer-address"`
+	AdminAddress     netip.AddrPort    `json:"admin-address"`
+	FabricAddresses  []netip.AddrPort  `json:"fabric-addresses"`
+	Platform         string            `json:"platform"`
+	Peers            []peerSettings    `json:"peers"`
+	TLS              tlsSettings       `json:"tls"`
+	Drain            operator.Duration `json:"drain"`
+}
+
+type peerSettings struct {
+	Name             string         `json:"name"`
+	AvailabilityZone string         `json:"availability-zone"`
+	DataAddress      netip.AddrPort `json:"data-address"`
+	PeerAddress      netip.AddrPort `json:"peer-address"`
+}
+
+type tlsSettings struct {
+	Certificate string `json:"certificate"`
+	Key         string `json:"key"`
+	Authority   string `json:"authority"`
+}
+
+func (p Plan) writeBalancers() error {
+	authority, err := newAuthority()
+	if err != nil {
+		return err
+	}
+	authorityPath := p.path("tls", "authority.pem")
+	if err := authority.write(authorityPath); err != nil {
+		return err
+	}
+	all := p.balancers()
+	for _, b := range all {
+		files := tlsSettings{
+			Certificate: p.path("tls", b.name+".pem"),
+			Key:         p.path("tls", b.name+".key"),
+			Authority:   authorityPath,
+		}
+		if err := authority.issue(b.name, b.peer.Addr(), files.Certificate, files.Key); err != nil {
+			return err
+		}
+		if err := p.writeJSON("settings", "balancer-"+b.name+".json", p.balancerSettings(b, all, files)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (p Plan) balancerSettings(b balancer, all []balancer, files tlsSettings) balancerSettings {
+	s := balancerSettings{
+		Name: b.name, AvailabilityZone: b.zone,
+		DataAddress: b.data, PeerAddress: b.peer, AdminAddress: b.admin,
+		FabricAddresses: []netip.AddrPort{p.port(fabricPort)},
+		Platform:        "http://" + p.port(platformPort).String(),
+		TLS:             files, Drain: operator.Duration(drainTime),
+	}
+	for _, other := range all {
+		if other.name != b.name {
+			s.Peers = append(s.Peers, peerSettings{
+				Name: other.name, AvailabilityZone: other.zone, DataAddress: other.data, PeerAddress: other.peer,
+			})
+		}
+	}
+	return s
+}
--- /dev/null
+++ b/standin/cmd_fabric.go
@@ -0,0 +1,11 @@
+package main
+
+import (
+	"github.com/urfave/cli/v3"
+
+	"trefoilspring.example/trefoilspring/standin/sprayer"
+)
+
+func cmdFabric() *cli.Command {
+	return daemonCommand("fabric", "spray the packets of callers over the balancers", sprayer.New)
+}
--- /dev/null
+++ b/standin/cmd_layout.go
@@ -0,0 +1,31 @@
+package main
+
+import (
+	"context"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"trefoilspring.example/trefoilspring/standin/arranger"
+)
+
+func cmdLayout() *cli.Command {
+	return &cli.Command{
+		Name:  "layout",
+		Usage: "write the settings of a whole deployment on this machine",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "out", Usage: "write to `DIR`", Required: true},
+			&cli.IntFlag{Name: "streams", Usage: "long-lived streams of all callers", Value: 300},
+			&cli.FloatFlag{Name: "rate", Usage: "short requests a second of all callers", Value: 60},
+			&cli.Uint64Flag{Name: "seed", Usage: "seed of the fabric and the callers", Value: 1},
+			&cli.IntFlag{Name: "base-port", Usage: "first of about 400 ports", Value: 21000},
+			&cli.DurationFlag{Name: "duration", Usage: "how long the callers send", Value: 24 * time.Second},
+		},
+		Action: func(_ context.Context, cmd *cli.Command) error {
+			return arranger.Plan{
+				Out: cmd.String("out"), Streams: cmd.Int("streams"), Rate: cmd.Float("rate"),
+				Seed: cmd.Uint64("seed"), BasePort: cmd.Int("base-port"), Duration: cmd.Duration("duration"),
+			}.Write()
+		},
+	}
+}
--- /dev/null
+++ b/standin/cmd_report.go
@@ -0,0 +1,86 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+
+	"trefoilspring.example/trefoilspring/standin/auditor"
+	"trefoilspring.example/trefoilspring/standin/journal"
+)
+
+func cmdReport() *cli.Command {
+	return &cli.Command{
+		Name:  "report",
+		Usage: "judge a run by the journals of its callers and targets",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "journals", Usage: "read all `DIR`/*.jsonl", Required: true},
+			&cli.StringFlag{Name: "zone", Usage: "the availability zone that was taken out"},
+			&cli.Int64Flag{Name: "out-at", Usage: "when that was accepted, in milliseconds since 1970"},
+			&cli.Int64Flag{Name: "in-at", Usage: "when its return was asked for, in milliseconds since 1970"},
+			&cli.StringSliceFlag{Name: "drained", Usage: "a target that was draining"},
+			&cli.Uint64Flag{Name: "seed", Usage: "the seed of the run, to be printed"},
+		},
+		Action: report,
+	}
+}
+
+// BrokenPromiseError reports a run that broke promises.
+type BrokenPromiseError struct {
+	violations []string
+}
+
+// Violations lists the promises that were broken.
+func (e *BrokenPromiseError) Violations() []string { return e.violations }
+
+func (e *BrokenPromiseError) Error() string { return strings.Join(e.violations, "; ") }
+
+func report(_ context.Context, cmd *cli.Command) error {
+	entries, err := readJournals(cmd.String("journals"))
+	if err != nil {
+		return err
+	}
+	input := auditor.Input{Entries: entries, Drained: cmd.StringSlice("drained"), Seed: cmd.Uint64("seed")}
+	if zone := cmd.String("zone"); zone != "" {
+		input.Outages = []auditor.Outage{{
+			Zone: zone, AcceptedUnixMs: cmd.Int64("out-at"), ReturnedUnixMs: cmd.Int64("in-at"),
+		}}
+	}
+	verdict := auditor.Judge(input)
+	line, err := json.Marshal(verdict)
+	if err != nil {
+		return errors.Wrap(err, "encoding the report")
+	}
+	// The reasons go first, so that the report is the last line on a terminal.
+	violations := verdict.Violations()
+	for _, v := range violations {
+		fmt.Fprintln(os.Stderr, "broken promise:", v)
+	}
+	fmt.Println(string(line))
+	if len(violations) > 0 {
+		return &BrokenPromiseError{violations: violations}
+	}
+	return nil
+}
+
+func readJournals(folder string) ([]journal.Entry, error) {
+	paths, err := filepath.Glob(filepath.Join(folder, "*.jsonl"))
+	if err != nil || len(paths) == 0 {
+		return nil, errors.Newf("no journals in %s", folder)
+	}
+	var entries []journal.Entry
+	for _, path := range paths {
+		e, err := journal.Read(path)
+		if err != nil {
+			return nil, err
+		}
+		entries = append(entries, e...)
+	}
+	return entries, nil
+}
--- a/standin/commands.go
+++ b/standin/commands.go
@@ -4,12 +4,19 @@
 	"context"
 
 	"github.com/urfave/cli/v3"
+
+	"trefoilspring.example/trefoilspring/loader"
 )
 
 // commands lists the subcommands in the order in which help shows them.
 func commands() []*cli.Command {
 	return []*cli.Command{
 		cmdPlatform(),
+		cmdFabric(),
+		cmdTarget(),
+		cmdCaller(),
+		cmdLayout(),
+		cmdReport(),
 	}
 }
 
@@ -22,3 +29,30 @@
 		ExitErrHandler: func(_ context.Context, _ *cli.Command, _ error) {},
 	}
 }
+
+// daemon is a stand-in that runs until its context ends.
+type daemon interface {
+	Run(ctx context.Context) error
+}
+
+// daemonCommand returns the command of a stand-in with settings of type S.
+func daemonCommand[S any, D daemon](name, usage string, start func(S) (D, error)) *cli.Command {
+	return &cli.Command{
+		Name:  name,
+		Usage: usage,
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Usage: "read the settings from `FILE`", Required: true},
+		},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			var settings S
+			if err := loader.Load(cmd.String("settings"), &settings); err != nil {
+				return err
+			}
+			d, err := start(settings)
+			if err != nil {
+				return err
+			}
+			return d.Run(ctx)
+		},
+	}
+}
--- a/standin/main.go
+++ b/standin/main.go
@@ -5,23 +5,28 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"os"
 	"os/signal"
 	"syscall"
 )
 
+// exitFailed is the exit code of a command that failed.
+const exitFailed = 1
+
 func main() {
 	os.Exit(run(os.Args))
 }
 
 func run(args []string) int {
+	slog.SetDefault(slog.New(slog.NewJSONHandler(os.Stderr, nil)))
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	// A second signal ends the process at once.
 	context.AfterFunc(ctx, stop)
 	if err := root().Run(ctx, args); err != nil {
 		fmt.Fprintln(os.Stderr, "standin:", err)
-		return 1
+		return exitFailed
 	}
 	return 0
 }
--- /dev/null
+++ b/standin/responder/certificate.go
@@ -0,0 +1,37 @@
+package responder
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"math/big"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// certificateLifetime is how long a certificate in memory is valid.
+const certificateLifetime = 24 * time.Hour
+
+// certificate makes a certificate that names the target and its zone.
+func certificate(name, zone string) (tls.Certificate, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return tls.Certificate{}, errors.Wrap(err, "making a key")
+	}
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(time.Now().UnixNano()),
+		Subject:      pkix.Name{CommonName: name, OrganizationalUnit: []string{zone}},
+		NotBefore:    time.Now().Add(-time.Hour),
+		NotAfter:     time.Now().Add(certificateLifetime),
+		DNSNames:     []string{name},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, key.Public(), key)
+	if err != nil {
+		return tls.Certificate{}, errors.Wrap(err, "making a certificate")
+	}
+	return tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key}, nil
+}
--- /dev/null
+++ b/standin/sprayer/path_test.go
@@ -0,0 +1,130 @@
+package sprayer_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
+
+	"trefoilspring.example/trefoilspring/operator"
+	"trefoilspring.example/trefoilspring/standin/auditor"
+	"trefoilspring.example/trefoilspring/standin/journal"
+	"trefoilspring.example/trefoilspring/standin/requester"
+	"trefoilspring.example/trefoilspring/standin/responder"
+	"trefoilspring.example/trefoilspring/standin/sprayer"
+	"trefoilspring.example/trefoilspring/standin/wrapper"
+)
+
+// relay sends every packet on to the target that pick returns, until the test ends.
+func relay(t *testing.T, socket *net.UDPConn, pick func() netip.AddrPort) {
+	t.Helper()
+	var group errgroup.Group
+	group.Go(func() error {
+		return wrapper.ReadBatch(socket, func(data []byte, _ netip.AddrPort) {
+			_, _ = socket.WriteToUDPAddrPort(data, pick())
+		})
+	})
+	t.Cleanup(func() {
+		_ = socket.Close()
+		_ = group.Wait()
+	})
+}
+
+func loopback() netip.AddrPort { return netip.MustParseAddrPort("127.0.0.1:0") }
+
+// deployment is one fabric, two targets of one service and one caller process.
+type deployment struct {
+	service netip.AddrPort
+	prefix  netip.Prefix
+	pick    func(targets []netip.AddrPort) netip.AddrPort
+}
+
+// run sends load for a second and judges the journals.
+func (d deployment) run(t *testing.T) auditor.Verdict {
+	t.Helper()
+	is := is.New(t)
+	folder := t.TempDir()
+	ready := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	defer ready.Close()
+
+	socket, err := wrapper.ListenUDP("127.0.0.1:0")
+	is.NoErr(err)
+	fabric, err := sprayer.New(sprayer.Settings{
+		Address: loopback(), AdminAddress: loopback(), Seed: 7, Poll: operator.Duration(10 * time.Millisecond),
+		CallerPrefixes: []netip.Prefix{d.prefix},
+		Balancers: []sprayer.Balancer{{
+			Name: "lb-1", DataAddress: socket.LocalAddr().(*net.UDPAddr).AddrPort(),
+			AdminAddress: netip.MustParseAddrPort(ready.Listener.Addr().String()),
+		}},
+	})
+	is.NoErr(err)
+	ctx, cancel := context.WithCancel(context.Background())
+	var group errgroup.Group
+	var targets []netip.AddrPort
+	for _, name := range []string{"bd-01", "bd-02"} {
+		target, err := responder.New(responder.Settings{
+			Name: name, Service: "booking-desk", AvailabilityZone: "ne-a",
+			Address: loopback(), HealthAddress: loopback(), FabricAddress: fabric.Address(),
+			ServiceAddresses: []netip.AddrPort{d.service}, Slots: 3, ShedQueue: 8,
+			Journal: filepath.Join(folder, name+".jsonl"),
+		})
+		is.NoErr(err)
+		targets = append(targets, target.Address())
+		group.Go(func() error { return target.Run(ctx) })
+	}
+	relay(t, socket, func() netip.AddrPort { return d.pick(targets) })
+	group.Go(func() error { return fabric.Run(ctx) })
+	for fabric.Stats().BalancersIn == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	caller, err := requester.New(requester.Settings{
+		Name: "c1", FabricAddress: fabric.Address(), SourcePrefixes: []netip.Prefix{d.prefix},
+		Loads: []requester.Load{{
+			Service: "booking-desk", Address: d.service, Streams: 4, Rate: 20, NonIdempotentShare: 0.5,
+		}},
+		Duration: operator.Duration(time.Second), Seed: 7, Journal: filepath.Join(folder, "c1.jsonl"),
+	})
+	is.NoErr(err)
+	is.NoErr(caller.Run(ctx))
+	cancel()
+	is.NoErr(group.Wait())
+
+	var entries []journal.Entry
+	for _, name := range []string{"c1", "bd-01", "bd-02"} {
+		e, err := journal.Read(filepath.Join(folder, name+".jsonl"))
+		is.NoErr(err)
+		entries = append(entries, e...)
+	}
+	return auditor.Judge(auditor.Input{Entries: entries, Seed: 7})
+}
+
+func first(targets []netip.AddrPort) netip.AddrPort { return targets[0] }
+
+func TestWholePath(t *testing.T) {
+	cases := map[string]deployment{
+		"ipv4": {
+			service: netip.MustParseAddrPort("198.51.100.10:443"),
+			prefix:  netip.MustParsePrefix("203.0.113.0/24"), pick: first,
+		},
+		"ipv6": {
+			service: netip.MustParseAddrPort("[2001:db8::10]:443"),
+			prefix:  netip.MustParsePrefix("2001:db8:203::/64"), pick: first,
+		},
+	}
+	for name, d := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			verdict := d.run(t)
+			is.Equal(verdict.Violations(), nil)
+			is.True(verdict.Requests > 10)
+			is.Equal(verdict.Answered, verdict.Requests)
+		})
+	}
+}
