Decide, forward and agree: the balancer daemon

Cause: the whole path needs a balancer. A flow's bucket is plain until a revision changes it; then it is tracked, prepared on every live balancer before it is active on any, and resolved by one of them with copies on two others. Ruled out: replicating every flow (bytes over the budget of a few KB/s), and one owner for each flow (all but 1 in 13 packets handed on). Before: no balancer.

--- /dev/null
+++ b/cmd_serve.go
@@ -0,0 +1,40 @@
+package main
+
+import (
+	"context"
+	"log/slog"
+	"os"
+
+	"github.com/urfave/cli/v3"
+
+	"trefoilspring.example/trefoilspring/server"
+)
+
+func cmdServe() *cli.Command {
+	return &cli.Command{
+		Name:  "serve",
+		Usage: "run a balancer until it is told to stop",
+		Description: `Reads the settings file and serves until SIGTERM or SIGINT, then drains and
+ends. A second signal ends it at once.
+
+Example:
+   trefoilspring serve --settings balancer.json`,
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Usage: "the settings `FILE`", Required: true},
+		},
+		Action: serve,
+	}
+}
+
+func serve(ctx context.Context, c *cli.Command) error {
+	settings, err := server.LoadSettings(c.String("settings"))
+	if err != nil {
+		return err
+	}
+	log := slog.New(slog.NewJSONHandler(os.Stderr, nil))
+	s, err := server.New(settings, log)
+	if err != nil {
+		return err
+	}
+	return s.Run(ctx)
+}
--- a/commands.go
+++ b/commands.go
@@ -19,6 +19,7 @@
 // commands lists the subcommands in the order in which help shows them.
 func commands() []*cli.Command {
 	return []*cli.Command{
+		cmdServe(),
 		cmdCheck(),
 		cmdDiff(),
 		cmdApply(),
--- /dev/null
+++ b/tracker/settler.go
@@ -0,0 +1,158 @@
+package tracker
+
+import (
+	"time"
+
+	"trefoilspring.example/trefoilspring/planner"
+)
+
+// Phase is a step of settling a bucket.
+type Phase uint8
+
+// The phases. Rebase makes the current target the base on every balancer; only
+// when all have done so does Release end the tracking.
+const (
+	Rebase Phase = iota + 1
+	Release
+)
+
+// Settlement asks for one phase of settling a bucket, which holds only where the
+// bucket was last changed by the same revision.
+type Settlement struct {
+	_       struct{} `cbor:",toarray"`
+	Phase   Phase
+	Service planner.ServiceID
+	Bucket  uint16
+	Changed uint64
+}
+
+// Tracked returns the number of tracked buckets.
+func (t *Tracker) Tracked() int {
+	n := 0
+	for _, s := range t.services {
+		n += s.tracked
+	}
+	return n
+}
+
+// Settle applies a phase and reports whether it holds here now.
+func (t *Tracker) Settle(now time.Time, m Settlement) bool {
+	s := t.services[m.Service]
+	if s == nil || int(m.Bucket) >= planner.Buckets {
+		return true
+	}
+	b := &s.buckets[m.Bucket]
+	if !b.tracked {
+		return true
+	}
+	if b.changed != m.Changed || t.changes(s, int(m.Bucket)) {
+		return false
+	}
+	if m.Phase == Rebase {
+		b.base = b.current
+		b.rebased = true
+		b.since = now
+		return true
+	}
+	if !b.rebased {
+		return false
+	}
+	b.tracked = false
+	b.rebased = false
+	s.tracked--
+	return true
+}
+
+// changes reports whether the prepared plan gives the bucket another target.
+func (t *Tracker) changes(s *service, index int) bool {
+	if t.prepared == nil {
+		return false
+	}
+	plan := t.prepared.ServiceByID(s.plan.ID())
+	return plan != nil && plan.Lookup(index) != s.buckets[index].current
+}
+
+// copyAge is how many idle timeouts a copy is kept that is not renewed.
+const copyAge = 4
+
+// Expire forgets records of flows that sent nothing within their service's idle
+// timeout, and renews the copies of the others. It is to be called every second
+// or so.
+func (t *Tracker) Expire(now time.Time) {
+	for id, s := range t.services {
+		for flow, r := range s.records {
+			t.expire(now, id, s, flow, r)
+		}
+	}
+}
+
+func (t *Tracker) expire(now time.Time, id planner.ServiceID, s *service, flow uint64, r record) {
+	index := planner.BucketOf(flow)
+	idle := uint32(s.plan.IdleTimeout() / time.Second)
+	resolves := t.ranks.resolver(slotOf(id, index)) == t.self
+	limit := idle
+	if !resolves {
+		limit = idle * copyAge
+	}
+	switch {
+	case !s.buckets[index].tracked || seconds(now)-r.seen > limit:
+		t.forget(s, flow, r)
+	case resolves && seconds(now)-r.copied > idle:
+		r.copied = seconds(now)
+		s.records[flow] = r
+		t.copyToKeepers(id, index, flow, r.target)
+	}
+}
+
+// Quiet returns the tracked buckets that this balancer resolves and on which no
+// flow is left but those on the current target, as rebase requests.
+func (t *Tracker) Quiet(now time.Time) []Settlement {
+	var quiet []Settlement
+	for id, s := range t.services {
+		if s.tracked == 0 {
+			continue
+		}
+		busy := s.busyBuckets()
+		for i := range s.buckets {
+			b := &s.buckets[i]
+			if !b.tracked || busy[i] || t.ranks.resolver(slotOf(id, i)) != t.self {
+				continue
+			}
+			if t.quiet(now, s, i) {
+				quiet = append(quiet, Settlement{Phase: Rebase, Service: id, Bucket: uint16(i), Changed: b.changed})
+			}
+		}
+	}
+	return quiet
+}
+
+func (t *Tracker) quiet(now time.Time, s *service, index int) bool {
+	b := &s.buckets[index]
+	if t.changes(s, index) {
+		return false
+	}
+	if _, fresh := t.fresh[b.current]; fresh {
+		return false
+	}
+	if b.base == b.current || !t.mayReceive(s.plan.ID(), b.base) {
+		return now.Sub(b.since) > settleDelay
+	}
+	idle := s.plan.IdleTimeout()
+	return now.Sub(b.lastBase) > idle && now.Sub(b.since) > idle
+}
+
+// settleDelay is how long a bucket is tracked at least, so that copies of an
+// opening have reached everyone.
+const settleDelay = 2 * time.Second
+
+// busyBuckets marks the buckets with a record on another than the current target.
+func (s *service) busyBuckets() *[planner.Buckets]bool {
+	var busy [planner.Buckets]bool
+	for flow, r := range s.records {
+		index := planner.BucketOf(flow)
+		if r.target != s.buckets[index].current {
+			busy[index] = true
+		}
+	}
+	return &busy
+}
--- /dev/null
+++ b/tracker/snapshot.go
@@ -0,0 +1,146 @@
+package tracker
+
+import (
+	"time"
+
+	"trefoilspring.example/trefoilspring/planner"
+)
+
+// BucketState is a tracked bucket in a snapshot.
+type BucketState struct {
+	_       struct{} `cbor:",toarray"`
+	Bucket  uint16
+	Base    planner.TargetID
+	Changed uint64
+	Rebased bool
+}
+
+// ServiceState is one service in a snapshot.
+type ServiceState struct {
+	_       struct{} `cbor:",toarray"`
+	Service planner.ServiceID
+	Buckets []BucketState
+	Records []FlowState
+}
+
+// FlowState is a record in a snapshot.
+type FlowState struct {
+	_      struct{} `cbor:",toarray"`
+	Flow   uint64
+	Target planner.TargetID
+}
+
+// FreshState is a freshly started target in a snapshot.
+type FreshState struct {
+	_      struct{} `cbor:",toarray"`
+	Target planner.TargetID
+	// AgeMilliseconds is how long the target has taken flows.
+	AgeMilliseconds int64
+}
+
+// Snapshot is the state that a joining balancer takes over.
+type Snapshot struct {
+	Services []ServiceState `cbor:"services"`
+	Fresh    []FreshState   `cbor:"fresh"`
+}
+
+// Snapshot returns the tracked state of this balancer.
+func (t *Tracker) Snapshot(now time.Time) Snapshot {
+	var snap Snapshot
+	for id, s := range t.services {
+		if s.tracked > 0 {
+			snap.Services = append(snap.Services, s.state(id))
+		}
+	}
+	for id, since := range t.fresh {
+		age := now.Sub(since).Milliseconds()
+		snap.Fresh = append(snap.Fresh, FreshState{Target: id, AgeMilliseconds: age})
+	}
+	return snap
+}
+
+func (s *service) state(id planner.ServiceID) ServiceState {
+	state := ServiceState{Service: id}
+	for i := range s.buckets {
+		b := &s.buckets[i]
+		if b.tracked {
+			state.Buckets = append(state.Buckets, BucketState{
+				Bucket:  uint16(i),
+				Base:    b.base,
+				Changed: b.changed,
+				Rebased: b.rebased,
+			})
+		}
+	}
+	for flow, r := range s.records {
+		state.Records = append(state.Records, FlowState{Flow: flow, Target: r.target})
+	}
+	return state
+}
+
+// Restore merges the snapshot of another balancer into this one's state.
+func (t *Tracker) Restore(now time.Time, snap Snapshot) {
+	for _, state := range snap.Services {
+		s := t.services[state.Service]
+		if s == nil {
+			continue
+		}
+		s.restoreBuckets(now, state.Buckets)
+		for _, f := range state.Records {
+			t.Learn(now, []Record{{Service: state.Service, Flow: f.Flow, Target: f.Target}})
+		}
+	}
+	for _, f := range snap.Fresh {
+		since := now.Add(-time.Duration(f.AgeMilliseconds) * time.Millisecond)
+		if t.active != nil && t.active.Target(f.Target) != nil {
+			t.fresh[f.Target] = since
+		}
+	}
+}
+
+func (s *service) restoreBuckets(now time.Time, states []BucketState) {
+	for _, state := range states {
+		if int(state.Bucket) >= planner.Buckets {
+			continue
+		}
+		b := &s.buckets[state.Bucket]
+		if !b.tracked {
+			b.tracked = true
+			s.tracked++
+		}
+		if state.Changed < b.changed {
+			continue
+		}
+		b.base = state.Base
+		b.changed = state.Changed
+		b.rebased = state.Rebased
+		b.since = now
+		b.lastBase = now
+	}
+}
+
+// Adopt rebuilds the state of a balancer that joins, or comes back after it could
+// not follow the others: the plan in force elsewhere, then the snapshots of those
+// that were ready. Records that it still holds stay, since the first decision on
+// a flow holds.
+func (t *Tracker) Adopt(now time.Time, p *planner.Plan, snapshots []Snapshot) {
+	kept := t.services
+	t.services = make(map[planner.ServiceID]*service)
+	t.active = p
+	t.prepared = nil
+	for id, plan := range p.Services() {
+		s := newService(now, plan)
+		if earlier := kept[id]; earlier != nil {
+			s.records = earlier.records
+			delete(kept, id)
+		}
+		t.services[id] = s
+	}
+	for id, s := range kept {
+		t.dropService(id, s)
+	}
+	clear(t.fresh)
+	for _, snap := range snapshots {
+		t.Restore(now, snap)
+	}
+}
