Move a balancer's agreements into a pure coordinator

Cause: joining, activation and settling sat between locks and goroutines of the server, where neither tests nor embedders could drive them in virtual time. Ruled out: a fake clock in the server; the order of goroutines would stay free.

--- /dev/null
+++ b/coordinator/coordinator.go
@@ -0,0 +1,181 @@
+// Package coordinator joins the decisions of one balancer: which balancers are
+// alive, which revision is in force, who holds which records, and where each
+// packet goes. It is the whole of a balancer but for sockets and clocks.
+//
+// # Usage
+//
+//	c := coordinator.New(coordinator.Config{Self: id, Incarnation: 1, GroupSize: 13})
+//	c.SetContacts(ids)
+//	for _, a := range c.Tick(now) { // every detector.Interval
+//		perform(a)
+//	}
+//	c.Heartbeat(now, message)
+//	c.Offer(now, record)
+//	reply := c.Answer(now, from, request)
+//	c.Replied(now, ask, reply, err == nil)
+//	d := c.Decide(now, query)
+//	for _, a := range c.Actions() {
+//		perform(a)
+//	}
+//
+// Every input takes the time and may leave actions, which Actions returns. A
+// Coordinator reads no clock, starts nothing, and is not safe for use from
+// several goroutines.
+package coordinator
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"trefoilspring.example/trefoilspring/activator"
+	"trefoilspring.example/trefoilspring/detector"
+	"trefoilspring.example/trefoilspring/limiter"
+	"trefoilspring.example/trefoilspring/operator"
+	"trefoilspring.example/trefoilspring/planner"
+	"trefoilspring.example/trefoilspring/tracker"
+)
+
+// Record is an accepted document.
+type Record struct {
+	// Revision counts from 1.
+	Revision uint64
+	Document *operator.Document
+	// Encoded is the record as it travels between balancers.
+	Encoded []byte
+}
+
+// Config is what a Coordinator must know from the start.
+type Config struct {
+	Self tracker.MemberID
+	// Incarnation grows with each start of the same balancer.
+	Incarnation uint32
+	// GroupSize is the number of balancers over which limits are split, at least
+	// as many as can be alive at once.
+	GroupSize int
+}
+
+// Coordinator is the state of one balancer.
+type Coordinator struct {
+	// Decode reads a record that a peer sent.
+	Decode func(encoded []byte) (Record, error)
+	// Note is told of each change of state, with a constant message and pairs of
+	// keys and values.
+	Note func(message string, pairs ...any)
+	// Count counts an event by its name.
+	Count func(name string, n int64)
+
+	self      tracker.MemberID
+	tracker   *tracker.Tracker
+	detector  *detector.Detector
+	limiter   *limiter.Limiter
+	activator activator.Activator
+	active    *Record
+	prepared  *Record
+	offered   *Record
+	members   []tracker.Member
+	expiredAt time.Time
+	settledAt time.Time
+	join      round
+	settle    round
+	fetch     round
+	lastRound uint32
+	actions   []Action
+}
+
+// New returns a Coordinator that is joining its group.
+func New(config Config) *Coordinator {
+	c := &Coordinator{
+		Decode:   func([]byte) (Record, error) { return Record{}, nil },
+		Note:     func(string, ...any) {},
+		Count:    func(string, int64) {},
+		self:     config.Self,
+		tracker:  tracker.New(config.Self),
+		detector: detector.New(config.Self, config.Incarnation),
+		limiter:  limiter.New(config.GroupSize),
+	}
+	c.tracker.SetAdmit(c.admit)
+	c.tracker.SetStale(true)
+	return c
+}
+
+// SetContacts sets the balancers to send heartbeats to.
+func (c *Coordinator) SetContacts(ids []tracker.MemberID) { c.detector.SetContacts(ids) }
+
+// State returns what this balancer says of itself.
+func (c *Coordinator) State() detector.State { return c.detector.State() }
+
+// Members returns the other live balancers.
+func (c *Coordinator) Members(now time.Time) []detector.Member { return c.detector.Members(now) }
+
+// Tracker returns the state of the buckets, for reading.
+func (c *Coordinator) Tracker() *tracker.Tracker { return c.tracker }
+
+// IsMember reports whether a balancer was alive at the last change of members.
+func (c *Coordinator) IsMember(id tracker.MemberID) bool {
+	return slices.ContainsFunc(c.members, func(m tracker.Member) bool { return m.ID == id })
+}
+
+// Leave starts a planned stop: others take over what this balancer resolves.
+func (c *Coordinator) Leave(now time.Time) {
+	c.detector.SetState(detector.Leaving)
+	c.Note("leaving")
+	c.updateMembers(now)
+	c.collectCopies()
+}
+
+// Refresh must be called before a batch of decisions: a balancer that was paused
+// finds out that it must not decide by itself.
+func (c *Coordinator) Refresh(now time.Time) {
+	joining := c.detector.State() == detector.Joining
+	c.tracker.SetStale(joining || !c.detector.Permitted(now))
+}
+
+// Decide says what to do with a packet.
+func (c *Coordinator) Decide(now time.Time, q tracker.Query) tracker.Decision {
+	return c.tracker.Decide(now, q)
+}
+
+// Service returns the service with that address, or 0.
+func (c *Coordinator) Service(address netip.AddrPort) planner.ServiceID {
+	for _, p := range [...]*planner.Plan{c.tracker.Active(), c.tracker.Prepared()} {
+		if p == nil {
+			continue
+		}
+		if service, ok := p.Service(address); ok {
+			return service.ID()
+		}
+	}
+	return 0
+}
+
+// Heartbeat takes a message of another balancer.
+func (c *Coordinator) Heartbeat(now time.Time, m detector.Message) {
+	c.detector.Receive(now, m)
+	c.updateMembers(now)
+	c.collectCopies()
+}
+
+// Learn takes records of another balancer.
+func (c *Coordinator) Learn(now time.Time, records []tracker.Record) {
+	c.tracker.Learn(now, records)
+}
+
+// Lost is told that records sent to a balancer may not have arrived.
+func (c *Coordinator) Lost(id tracker.MemberID) {
+	if c.IsMember(id) {
+		c.tracker.CopyAll(id)
+		c.collectCopies()
+	}
+}
+
+// admit limits the open flows of a target that has just started.
+func (c *Coordinator) admit(now time.Time, target planner.TargetID, open int) bool {
+	since, fresh := c.tracker.FreshSince(target)
+	if !fresh {
+		return true
+	}
+	active := c.tracker.Active()
+	service := active.ServiceByID(active.Target(target).Service())
+	return c.limiter.Admits(service.ColdStart(), now.Sub(since), open)
+}
--- /dev/null
+++ b/coordinator/documents.go
@@ -0,0 +1,83 @@
+package coordinator
+
+import (
+	"time"
+
+	"trefoilspring.example/trefoilspring/detector"
+	"trefoilspring.example/trefoilspring/planner"
+	"trefoilspring.example/trefoilspring/tracker"
+)
+
+// Revision returns the latest revision that is prepared or active here.
+func (c *Coordinator) Revision() uint64 {
+	latest := uint64(0)
+	for _, p := range [...]*planner.Plan{c.tracker.Active(), c.tracker.Prepared()} {
+		if p != nil {
+			latest = max(latest, p.Revision())
+		}
+	}
+	return latest
+}
+
+// Offer takes an accepted document, from the platform or a peer. One that is not
+// newer than the latest known changes nothing.
+func (c *Coordinator) Offer(now time.Time, record Record) {
+	if c.offered != nil && record.Revision <= c.offered.Revision {
+		return
+	}
+	c.offered = &record
+	if c.detector.State() != detector.Joining {
+		c.prepareOffered(now)
+	}
+}
+
+// prepareOffered prepares the latest known document, if it is newer than what
+// is prepared.
+func (c *Coordinator) prepareOffered(now time.Time) {
+	record := c.offered
+	if record == nil || record.Revision <= c.Revision() {
+		return
+	}
+	c.tracker.Prepare(now, planner.New(record.Revision, record.Document))
+	if c.tracker.Prepared() == nil {
+		c.active = record
+	} else {
+		c.prepared = record
+	}
+	c.reportRevisions()
+	c.Note("revision prepared", "revision", record.Revision)
+}
+
+// startFetch asks a peer that knows a newer revision for its document.
+func (c *Coordinator) startFetch(now time.Time) {
+	if c.fetch.open() {
+		return
+	}
+	known := c.Revision()
+	if c.offered != nil {
+		known = max(known, c.offered.Revision)
+	}
+	for _, m := range c.detector.Members(now) {
+		if m.Prepared() > known && !m.Suspect() {
+			c.start(&c.fetch, []tracker.MemberID{m.ID()}, Request{Document: true})
+			return
+		}
+	}
+}
+
+func (c *Coordinator) fetched(now time.Time) {
+	r := c.fetch
+	c.fetch = round{}
+	if r.failed {
+		c.Count("document-fetch-retried", 1)
+		return
+	}
+	for _, reply := range r.replies {
+		for _, encoded := range [][]byte{reply.Active, reply.Prepared} {
+			if record := c.decode(encoded); record != nil {
+				c.Count("documents-from-peers", 1)
+				c.Offer(now, *record)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/coordinator/ticker.go
@@ -0,0 +1,191 @@
+package coordinator
+
+import (
+	"slices"
+	"time"
+
+	"trefoilspring.example/trefoilspring/detector"
+	"trefoilspring.example/trefoilspring/tracker"
+)
+
+const (
+	// expireInterval is how often idle records are forgotten.
+	expireInterval = time.Second
+	// settleInterval is how often quiet buckets are looked for.
+	settleInterval = 2 * time.Second
+)
+
+// Tick does what is due by the clock, and returns what is to be done. It is to
+// be called every detector.Interval.
+func (c *Coordinator) Tick(now time.Time) []Action {
+	c.beat(now)
+	c.updateMembers(now)
+	c.activate(now)
+	c.startFetch(now)
+	c.startJoin(now)
+	c.expire(now)
+	c.startSettling(now)
+	return c.Actions()
+}
+
+func (c *Coordinator) beat(now time.Time) {
+	paused := c.detector.State() == detector.Ready && !c.detector.Permitted(now)
+	c.reportRevisions()
+	for _, d := range c.detector.Beat(now) {
+		c.actions = append(c.actions, Action{kind: SendHeartbeat, to: d.To(), heartbeat: d.Message()})
+	}
+	if paused {
+		c.Note("no longer permitted to decide", "cause", "no peer echoes this balancer's heartbeats")
+		c.Count("permission-lost", 1)
+		c.detector.SetState(detector.Joining)
+	}
+}
+
+func (c *Coordinator) reportRevisions() {
+	active := uint64(0)
+	if p := c.tracker.Active(); p != nil {
+		active = p.Revision()
+	}
+	c.detector.SetRevisions(active, c.Revision())
+}
+
+// updateMembers gives the tracker the live balancers, if they changed.
+func (c *Coordinator) updateMembers(now time.Time) {
+	members := []tracker.Member{{
+		ID:       c.self,
+		Resolves: c.detector.State() == detector.Ready,
+		Keeps:    c.detector.State() != detector.Leaving,
+	}}
+	for _, m := range c.detector.Members(now) {
+		members = append(members, tracker.Member{
+			ID:       m.ID(),
+			Resolves: m.State() == detector.Ready && !m.Suspect(),
+			Keeps:    m.State() != detector.Leaving,
+		})
+	}
+	if slices.Equal(members, c.members) {
+		return
+	}
+	c.members = members
+	c.tracker.SetMembers(members)
+	c.Note("members changed", "alive", len(members), "resolving", countResolving(members))
+}
+
+func countResolving(members []tracker.Member) int {
+	n := 0
+	for _, m := range members {
+		if m.Resolves {
+			n++
+		}
+	}
+	return n
+}
+
+// activate puts the prepared revision in force once all live balancers have it.
+func (c *Coordinator) activate(now time.Time) {
+	p := c.tracker.Prepared()
+	if p == nil || c.detector.State() == detector.Joining {
+		return
+	}
+	if !c.activator.Allows(now, p.Revision(), c.detector.Members(now)) {
+		return
+	}
+	c.tracker.Activate(now)
+	c.active = c.prepared
+	c.prepared = nil
+	c.reportRevisions()
+	c.Note("revision active", "revision", p.Revision(), "tracked-buckets", c.tracker.Tracked())
+}
+
+func (c *Coordinator) expire(now time.Time) {
+	if now.Sub(c.expiredAt) < expireInterval {
+		return
+	}
+	c.expiredAt = now
+	c.tracker.Expire(now)
+	c.endRamps(now)
+}
+
+// endRamps lifts the limits of targets whose ramp is over.
+func (c *Coordinator) endRamps(now time.Time) {
+	active := c.tracker.Active()
+	if active == nil {
+		return
+	}
+	for id, target := range active.Targets() {
+		since, fresh := c.tracker.FreshSince(id)
+		if !fresh {
+			continue
+		}
+		service := active.ServiceByID(target.Service())
+		if service == nil || c.limiter.Ended(service.ColdStart(), now.Sub(since)) {
+			c.tracker.EndFresh(id)
+		}
+	}
+}
+
+// startSettling begins to settle the quiet buckets that this balancer resolves.
+func (c *Coordinator) startSettling(now time.Time) {
+	if c.settle.open() || c.detector.State() != detector.Ready || now.Sub(c.settledAt) < settleInterval {
+		return
+	}
+	c.settledAt = now
+	quiet := c.tracker.Quiet(now)
+	if len(quiet) == 0 {
+		return
+	}
+	c.settlePhase(now, quiet[:min(len(quiet), maxSettlements)])
+}
+
+// maxSettlements bounds the buckets of one round.
+const maxSettlements = 256
+
+// settlePhase asks all live balancers for one phase.
+func (c *Coordinator) settlePhase(now time.Time, wanted []tracker.Settlement) {
+	var others []tracker.MemberID
+	for _, m := range c.detector.Members(now) {
+		others = append(others, m.ID())
+	}
+	c.start(&c.settle, others, Request{Settlements: wanted})
+	c.settle.wanted = wanted
+	if len(others) == 0 {
+		c.settled(now)
+	}
+}
+
+// settled ends a phase. The buckets on which every balancer agreed go on to the
+// next one; the others are tried again in a later round.
+func (c *Coordinator) settled(now time.Time) {
+	r := c.settle
+	c.settle = round{}
+	if r.failed {
+		c.Count("settling-retried", 1)
+		return
+	}
+	var release []tracker.Settlement
+	released := 0
+	for i, settlement := range r.wanted {
+		if !agreed(r.replies, i) || !c.tracker.Settle(now, settlement) {
+			continue
+		}
+		if settlement.Phase == tracker.Release {
+			released++
+			continue
+		}
+		settlement.Phase = tracker.Release
+		release = append(release, settlement)
+	}
+	c.Count("buckets-settled", int64(released))
+	if len(release) > 0 {
+		c.settlePhase(now, release)
+	}
+}
+
+func agreed(replies []Reply, index int) bool {
+	for _, r := range replies {
+		if index >= len(r.Settled) || !r.Settled[index] {
+			return false
+		}
+	}
+	return true
+}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -7,12 +7,12 @@
 //	n := peer.New(identity, contacts)
 //	n.OnHeartbeat = func(m detector.Message) { … }
 //	n.OnRecords = func(records []tracker.Record) { … }
-//	n.OnRequest = func(r peer.Request) peer.Reply { … }
+//	n.OnRequest = func(from tracker.MemberID, r coordinator.Request) coordinator.Reply { … }
 //	err := n.Run(ctx)
 //	…
 //	n.SendHeartbeat(id, message)
 //	n.SendRecords(id, records)
-//	reply, err := n.Ask(ctx, id, peer.Request{Join: true})
+//	reply, err := n.Ask(ctx, id, coordinator.Request{Join: true})
 //
 // Every method may be called from several goroutines. The function fields are
 // set before Run and called from several goroutines.
@@ -30,6 +30,7 @@
 	"github.com/quic-go/quic-go"
 	"golang.org/x/sync/errgroup"
 
+	"trefoilspring.example/trefoilspring/coordinator"
 	"trefoilspring.example/trefoilspring/detector"
 	"trefoilspring.example/trefoilspring/tracker"
 )
@@ -78,7 +79,7 @@
 	// OnRecords takes records that arrived.
 	OnRecords func([]tracker.Record)
 	// OnRequest answers a request.
-	OnRequest func(Request) Reply
+	OnRequest func(from tracker.MemberID, r coordinator.Request) coordinator.Reply
 	// OnLoss is told that records sent to a peer may not have arrived.
 	OnLoss func(tracker.MemberID)
 	// Count counts an event by its name, such as "handshake-refused".
@@ -99,7 +100,7 @@
 	n := &Node{
 		OnHeartbeat: func(detector.Message) {},
 		OnRecords:   func([]tracker.Record) {},
-		OnRequest:   func(Request) Reply { return Reply{} },
+		OnRequest:   func(tracker.MemberID, coordinator.Request) coordinator.Reply { return coordinator.Reply{} },
 		OnLoss:      func(tracker.MemberID) {},
 		Count:       func(string, int64) {},
 		self:        self,
--- a/peer/request.go
+++ b/peer/request.go
@@ -8,32 +8,20 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/quic-go/quic-go"
 
-	"trefoilspring.example/trefoilspring/detector"
+	"trefoilspring.example/trefoilspring/coordinator"
 	"trefoilspring.example/trefoilspring/tracker"
 )
 
-// Request asks a peer for one thing.
-type Request struct {
-	// From is where the asking balancer is reached.
-	From Contact `cbor:"from"`
-	// Join asks for all that a joining balancer needs.
-	Join bool `cbor:"join,omitempty"`
-	// Document asks for the latest accepted document.
-	Document bool `cbor:"document,omitempty"`
-	// Settlements asks to settle buckets.
-	Settlements []tracker.Settlement `cbor:"settlements,omitempty"`
+// question carries a request and where its sender is reached.
+type question struct {
+	From    Contact             `cbor:"from"`
+	Request coordinator.Request `cbor:"request"`
 }
 
-// Reply answers a Request.
-type Reply struct {
-	State detector.State `cbor:"state"`
-	// Active and Prepared hold encoded records of documents; they may be empty.
-	Active   []byte            `cbor:"active,omitempty"`
-	Prepared []byte            `cbor:"prepared,omitempty"`
-	Snapshot *tracker.Snapshot `cbor:"snapshot,omitempty"`
+// answer carries a reply and, to a joining balancer, the known contacts.
+type answer struct {
+	Reply    coordinator.Reply `cbor:"reply"`
 	Contacts []Contact         `cbor:"contacts,omitempty"`
-	// Settled holds one answer for each settlement.
-	Settled []bool `cbor:"settled,omitempty"`
 }
 
 func (n *Node) readRequests(ctx context.Context, conn *quic.Conn) error {
@@ -56,49 +44,51 @@
 		n.Count("request-cut-short", 1)
 		return
 	}
-	var request Request
-	if err := cbor.Unmarshal(data, &request); err != nil {
+	var q question
+	if err := cbor.Unmarshal(data, &q); err != nil || q.From.Name == "" {
 		n.Count("malformed-request", 1)
 		return
 	}
-	if request.From.Name != "" {
-		n.AddContacts([]Contact{request.From})
+	n.AddContacts([]Contact{q.From})
+	a := answer{Reply: n.OnRequest(q.From.ID(), q.Request)}
+	if q.Request.Join {
+		a.Contacts = append(n.Contacts(), n.self)
 	}
-	reply, err := cbor.Marshal(n.OnRequest(request))
+	encoded, err := cbor.Marshal(a)
 	if err != nil {
 		n.Count("reply-not-encoded", 1)
 		return
 	}
-	if _, err := stream.Write(reply); err != nil {
+	if _, err := stream.Write(encoded); err != nil {
 		n.Count("reply-not-sent", 1)
 	}
 }
 
 // Ask sends a request to a peer and waits for its reply. A request whose reply
 // is lost may have been carried out: all requests are idempotent.
-func (n *Node) Ask(ctx context.Context, id tracker.MemberID, request Request) (Reply, error) {
-	var reply Reply
+func (n *Node) Ask(ctx context.Context, id tracker.MemberID, request coordinator.Request) (coordinator.Reply, error) {
+	var a answer
 	l, err := n.link(id)
 	if err != nil {
-		return reply, err
+		return a.Reply, err
 	}
 	conn, err := l.connect(ctx)
 	if err != nil {
-		return reply, err
+		return a.Reply, err
 	}
-	request.From = n.self
-	data, err := cbor.Marshal(request)
+	data, err := cbor.Marshal(question{From: n.self, Request: request})
 	if err != nil {
-		return reply, errors.Wrap(err, "encoding a request")
+		return a.Reply, errors.Wrap(err, "encoding a request")
 	}
-	answer, err := exchange(ctx, conn, data)
+	encoded, err := exchange(ctx, conn, data)
 	if err != nil {
-		return reply, errors.Wrapf(err, "asking the peer %s", l.contact.Name)
+		return a.Reply, errors.Wrapf(err, "asking the peer %s", l.contact.Name)
 	}
-	if err := cbor.Unmarshal(answer, &reply); err != nil {
-		return reply, errors.Wrapf(err, "reading the reply of the peer %s", l.contact.Name)
+	if err := cbor.Unmarshal(encoded, &a); err != nil {
+		return a.Reply, errors.Wrapf(err, "reading the reply of the peer %s", l.contact.Name)
 	}
-	return reply, nil
+	n.AddContacts(a.Contacts)
+	return a.Reply, nil
 }
 
 func exchange(ctx context.Context, conn *quic.Conn, request []byte) ([]byte, error) {
--- a/server/admin.go
+++ b/server/admin.go
@@ -65,7 +65,7 @@
 
 func (s *Server) serveReady(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
-	state := s.detector.State()
+	state := s.coordinator.State()
 	s.mu.Unlock()
 	if state != detector.Ready {
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -87,18 +87,19 @@
 func (s *Server) status(now time.Time) Status {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	t := s.coordinator.Tracker()
 	status := Status{
 		Name:             s.settings.Name,
 		AvailabilityZone: s.settings.AvailabilityZone,
-		State:            stateNames[s.detector.State()],
-		Prepared:         s.latestRevision(),
-		TrackedBuckets:   s.tracker.Tracked(),
-		Records:          s.tracker.Records(),
+		State:            stateNames[s.coordinator.State()],
+		Prepared:         s.coordinator.Revision(),
+		TrackedBuckets:   t.Tracked(),
+		Records:          t.Records(),
 	}
-	if p := s.tracker.Active(); p != nil {
+	if p := t.Active(); p != nil {
 		status.Active = p.Revision()
 	}
-	for _, m := range s.detector.Members(now) {
+	for _, m := range s.coordinator.Members(now) {
 		contact, _ := s.node.Contact(m.ID())
 		status.Members = append(status.Members, MemberStatus{
 			Name:    contact.Name,
--- a/server/server.go
+++ b/server/server.go
@@ -1,5 +1,5 @@
-// Package server runs one balancer: it joins the decisions of the pure packages
-// to sockets, peers and the platform.
+// Package server runs one balancer: it joins the coordinator, which decides, to
+// sockets, peers and the platform.
 //
 // # Usage
 //
@@ -7,8 +7,8 @@
 //	s, err := server.New(settings, slog.Default())
 //	err = s.Run(ctx) // until ctx ends and the drain time is over
 //
-// All state that decisions share is behind one lock, which the data path takes
-// once for each batch of packets.
+// The coordinator is behind one lock, which the data path takes once for each
+// batch of packets.
 package server
 
 import (
@@ -21,18 +21,20 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"trefoilspring.example/trefoilspring/activator"
 	"trefoilspring.example/trefoilspring/batcher"
+	"trefoilspring.example/trefoilspring/coordinator"
 	"trefoilspring.example/trefoilspring/detector"
 	"trefoilspring.example/trefoilspring/forwarder"
-	"trefoilspring.example/trefoilspring/limiter"
 	"trefoilspring.example/trefoilspring/peer"
-	"trefoilspring.example/trefoilspring/planner"
+	"trefoilspring.example/trefoilspring/platform"
 	"trefoilspring.example/trefoilspring/publisher"
 	"trefoilspring.example/trefoilspring/tracker"
 	"trefoilspring.example/trefoilspring/watcher"
 )
 
+// askTimeout bounds one request to a peer.
+const askTimeout = 3 * time.Second
+
 // Server is one balancer.
 type Server struct {
 	settings Settings
@@ -41,21 +43,12 @@
 	counters *forwarder.Counters
 	node     *peer.Node
 	watcher  *watcher.Watcher
+	group    *errgroup.Group
+	work     context.Context
 	addresses
 
-	mu        sync.Mutex
-	tracker   *tracker.Tracker
-	detector  *detector.Detector
-	limiter   *limiter.Limiter
-	activator activator.Activator
-	documents documents
-	members   []tracker.Member
-	settledAt time.Time
-	expiredAt time.Time
-	joining   bool
-	fetching  bool
-	settling  bool
-	group     *errgroup.Group
+	mu          sync.Mutex
+	coordinator *coordinator.Coordinator
 }
 
 // New returns a balancer with these settings.
@@ -64,27 +57,35 @@
 	if err != nil {
 		return nil, err
 	}
-	id := tracker.NewMemberID(settings.Name)
 	s := &Server{
 		settings: settings,
 		log:      log.With("balancer", settings.Name),
 		vars:     new(expvar.Map),
 		node:     peer.New(settings.contact(), identity, settings.Peers),
-		tracker:  tracker.New(id),
-		detector: detector.New(id, uint32(time.Now().Unix())),
-		limiter:  limiter.New(len(settings.Peers) + 1),
+		watcher:  watcher.New(platform.New(settings.Platform)),
+		coordinator: coordinator.New(coordinator.Config{
+			Self:        tracker.NewMemberID(settings.Name),
+			Incarnation: uint32(time.Now().Unix()),
+			GroupSize:   len(settings.Peers) + 1,
+		}),
 	}
 	s.counters = forwarder.NewCounters(s.vars)
-	s.tracker.SetAdmit(s.admit)
-	s.tracker.SetStale(true)
+	s.setAddresses(settings.FabricAddresses, settings.Peers)
+	s.connectParts()
+	return s, nil
+}
+
+func (s *Server) connectParts() {
+	s.coordinator.Decode = decodeRecord
+	s.coordinator.Note = s.log.Info
+	s.coordinator.Count = s.vars.Add
+	s.node.Count = s.vars.Add
 	s.node.OnHeartbeat = s.receiveHeartbeat
 	s.node.OnRecords = s.receiveRecords
 	s.node.OnRequest = s.answer
 	s.node.OnLoss = s.copyAgain
-	s.node.Count = s.vars.Add
-	s.setAddresses(settings.FabricAddresses, settings.Peers)
-	s.watcher = s.newWatcher()
-	return s, nil
+	s.watcher.Log = s.log
+	s.watcher.OnDocument = s.offer
 }
 
 // Run serves until ctx ends, then drains and returns.
@@ -92,34 +93,33 @@
 	// The work goes on while the balancer drains, so it has a context of its own.
 	work, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
-	group, work := errgroup.WithContext(work)
-	s.group = group
+	s.group, s.work = errgroup.WithContext(work)
 	for range s.settings.readers() {
-		if err := s.startForwarder(work, group); err != nil {
+		if err := s.startForwarder(); err != nil {
 			return err
 		}
 	}
-	group.Go(func() error { return s.node.Run(work) })
-	group.Go(func() error { return s.serveAdmin(work) })
-	group.Go(func() error { return s.watchPlatform(work) })
-	group.Go(func() error { return s.tickLoop(work) })
-	group.Go(func() error {
+	s.group.Go(func() error { return s.node.Run(s.work) })
+	s.group.Go(func() error { return s.serveAdmin(s.work) })
+	s.group.Go(func() error { return s.watcher.Run(s.work) })
+	s.group.Go(s.tickLoop)
+	s.group.Go(func() error {
 		select {
-		case <-work.Done():
+		case <-s.work.Done():
 		case <-ctx.Done():
-			s.drain(work)
+			s.drain()
 			end()
 		}
 		return nil
 	})
 	s.log.Info("balancer started", "data-address", s.settings.DataAddress.String())
-	err := group.Wait()
+	err := s.group.Wait()
 	s.log.Info("balancer ended")
 	return err
 }
 
-func (s *Server) startForwarder(ctx context.Context, group *errgroup.Group) error {
-	conn, err := batcher.Listen(ctx, s.settings.DataAddress)
+func (s *Server) startForwarder() error {
+	conn, err := batcher.Listen(s.work, s.settings.DataAddress)
 	if err != nil {
 		return err
 	}
@@ -127,43 +127,123 @@
 	f.Decide = s.decide
 	f.Trusted = s.origin
 	f.Fabric = s.settings.FabricAddresses[0]
-	group.Go(func() error {
+	s.group.Go(func() error {
 		defer conn.Close()
-		return f.Run(ctx)
+		return f.Run(s.work)
 	})
 	return nil
 }
 
 // drain tells the fabric and the peers, then waits while packets still arrive.
-func (s *Server) drain(ctx context.Context) {
+func (s *Server) drain() {
 	s.log.Info("draining", "drain", time.Duration(s.settings.Drain).String())
 	s.mu.Lock()
-	s.detector.SetState(detector.Leaving)
+	s.coordinator.Leave(time.Now())
 	s.mu.Unlock()
-	s.tick(ctx, time.Now())
+	s.tick()
 	select {
-	case <-ctx.Done():
+	case <-s.work.Done():
 	case <-time.After(time.Duration(s.settings.Drain)):
 	}
 }
 
+func (s *Server) tickLoop() error {
+	ticker := time.NewTicker(detector.Interval)
+	defer ticker.Stop()
+	for {
+		s.tick()
+		select {
+		case <-s.work.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+func (s *Server) tick() {
+	contacts := s.node.Contacts()
+	s.setAddresses(s.settings.FabricAddresses, contacts)
+	ids := make([]tracker.MemberID, 0, len(contacts))
+	for _, c := range contacts {
+		ids = append(ids, c.ID())
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.coordinator.SetContacts(ids)
+	s.perform(s.coordinator.Tick(time.Now()))
+}
+
+// perform does what the coordinator asks for. It is called under the lock, so it
+// only queues or starts work.
+func (s *Server) perform(actions []coordinator.Action) {
+	for _, a := range actions {
+		switch a.Kind() {
+		case coordinator.SendHeartbeat:
+			s.node.SendHeartbeat(a.To(), a.Heartbeat())
+		case coordinator.SendRecords:
+			s.node.SendRecords(a.To(), a.Records())
+		case coordinator.SendRequest:
+			s.group.Go(func() error {
+				s.ask(a)
+				return nil
+			})
+		}
+	}
+}
+
+func (s *Server) ask(a coordinator.Action) {
+	ctx, cancel := context.WithTimeout(s.work, askTimeout)
+	defer cancel()
+	reply, err := s.node.Ask(ctx, a.To(), a.Ask().Request())
+	if err != nil {
+		s.log.Info("request to a peer failed", "cause", err.Error())
+	}
+	s.update(func(now time.Time) {
+		s.coordinator.Replied(now, a.Ask(), reply, err == nil)
+	})
+}
+
+// update gives the coordinator an input and does what it then asks for.
+func (s *Server) update(input func(now time.Time)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	input(time.Now())
+	s.perform(s.coordinator.Actions())
+}
+
+func (s *Server) receiveHeartbeat(m detector.Message) {
+	s.update(func(now time.Time) { s.coordinator.Heartbeat(now, m) })
+}
+
+func (s *Server) receiveRecords(records []tracker.Record) {
+	s.update(func(now time.Time) { s.coordinator.Learn(now, records) })
+}
+
+func (s *Server) copyAgain(id tracker.MemberID) {
+	s.update(func(time.Time) { s.coordinator.Lost(id) })
+}
+
+func (s *Server) answer(from tracker.MemberID, r coordinator.Request) coordinator.Reply {
+	var reply coordinator.Reply
+	s.update(func(now time.Time) { reply = s.coordinator.Answer(now, from, r) })
+	return reply
+}
+
 // decide answers a batch of packets under one lock.
 func (s *Server) decide(now time.Time, jobs []forwarder.Job) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	stale := s.detector.State() == detector.Joining || !s.detector.Permitted(now)
-	s.tracker.SetStale(stale)
+	s.coordinator.Refresh(now)
 	for i := range jobs {
 		s.decideOne(now, &jobs[i])
 	}
-	s.sendCopies()
+	s.perform(s.coordinator.Actions())
 }
 
 func (s *Server) decideOne(now time.Time, j *forwarder.Job) {
 	p := j.Packet()
-	service := s.serviceOf(p.Destination())
-	d := s.tracker.Decide(now, tracker.Query{
-		Service: service,
+	d := s.coordinator.Decide(now, tracker.Query{
+		Service: s.coordinator.Service(p.Destination()),
 		Flow:    p.Flow(),
 		Mark:    p.Mark(),
 		Hops:    p.Hops(),
@@ -171,22 +251,10 @@
 	j.Send(d, s.destination(d))
 }
 
-func (s *Server) serviceOf(address netip.AddrPort) planner.ServiceID {
-	for _, p := range []*planner.Plan{s.tracker.Active(), s.tracker.Prepared()} {
-		if p == nil {
-			continue
-		}
-		if service, ok := p.Service(address); ok {
-			return service.ID()
-		}
-	}
-	return 0
-}
-
 func (s *Server) destination(d tracker.Decision) netip.AddrPort {
 	switch d.Action() {
 	case tracker.Forward:
-		return s.tracker.Active().Target(d.Target()).Address()
+		return s.coordinator.Tracker().Active().Target(d.Target()).Address()
 	case tracker.HandOn:
 		return s.dataAddress(d.Member())
 	default:
@@ -194,41 +262,21 @@
 	}
 }
 
-// sendCopies passes on the records that decisions left to be copied.
-func (s *Server) sendCopies() {
-	for _, c := range s.tracker.Copies() {
-		s.node.SendRecords(c.Member(), c.Records())
-	}
-}
-
-func (s *Server) receiveRecords(records []tracker.Record) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.tracker.Learn(time.Now(), records)
-}
-
-func (s *Server) copyAgain(id tracker.MemberID) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.isMember(id) {
-		s.tracker.CopyAll(id)
-		s.sendCopies()
+// offer takes a document from the platform.
+func (s *Server) offer(r publisher.Record) {
+	encoded, err := publisher.Encode(r)
+	if err != nil {
+		s.vars.Add("document-not-encoded", 1)
+		return
 	}
+	record := coordinator.Record{Revision: r.Revision, Document: &r.Document, Encoded: encoded}
+	s.update(func(now time.Time) { s.coordinator.Offer(now, record) })
 }
 
-// admit limits the open flows of a target that has just started.
-func (s *Server) admit(now time.Time, target planner.TargetID, open int) bool {
-	since, fresh := s.tracker.FreshSince(target)
-	if !fresh {
-		return true
+func decodeRecord(encoded []byte) (coordinator.Record, error) {
+	r, err := publisher.Decode(encoded)
+	if err != nil {
+		return coordinator.Record{}, err
 	}
-	service := s.tracker.Active().ServiceByID(s.tracker.Active().Target(target).Service())
-	return s.limiter.Admits(service.ColdStart(), now.Sub(since), open)
-}
-
-// documents holds the accepted documents that this balancer knows.
-type documents struct {
-	active   *publisher.Record
-	prepared *publisher.Record
-	offered  *publisher.Record
+	return coordinator.Record{Revision: r.Revision, Document: &r.Document, Encoded: encoded}, nil
 }
