--- /dev/null
+++ b/test/main_test.go
@@ -0,0 +1,128 @@
+// Package test_test runs the built commands as separate processes and compares
+// what they print.
+package test_test
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"net/url"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// binaries is the folder of the built commands.
+var binaries string
+
+func TestMain(m *testing.M) {
+	os.Exit(runTests(m))
+}
+
+func runTests(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "trefoilspring")
+	if err != nil {
+		panic(err)
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	binaries = dir
+	for _, pkg := range []string{"trefoilspring", "standin"} {
+		path := "trefoilspring.example/" + strings.TrimSuffix("trefoilspring/"+pkg, "/trefoilspring")
+		out, err := exec.Command("go", "build", "-o", filepath.Join(dir, pkg), path).CombinedOutput()
+		if err != nil {
+			panic(fmt.Sprintf("building %s: %s", path, out))
+		}
+	}
+	return m.Run()
+}
+
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:   "testdata/script",
+		Setup: setup,
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"ready":  ready,
+			"switch": setSwitch,
+			"mask":   mask,
+		},
+	})
+}
+
+// setup names the addresses of the platform stand-in and writes its settings.
+func setup(env *testscript.Env) error {
+	api, admin := freeAddress(), freeAddress()
+	env.Setenv("PATH", binaries+string(os.PathListSeparator)+env.Getenv("PATH"))
+	env.Setenv("PLATFORM", "http://"+api)
+	env.Setenv("ADMIN", "http://"+admin)
+	return writeSettings(filepath.Join(env.WorkDir, "platform.json"), api, admin)
+}
+
+func writeSettings(path, api, admin string) error {
+	settings := fmt.Sprintf(`{"address": %q, "admin-address": %q}`, api, admin)
+	return os.WriteFile(path, []byte(settings), 0o600)
+}
+
+func freeAddress() string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+// ready waits until the platform stand-in serves.
+func ready(ts *testscript.TestScript, _ bool, _ []string) {
+	ts.Check(awaitPlatform(ts.Getenv("ADMIN")))
+}
+
+func awaitPlatform(admin string) error {
+	deadline := time.Now().Add(10 * time.Second)
+	for {
+		res, err := http.Get(admin + "/calls")
+		if err == nil {
+			return res.Body.Close()
+		}
+		if time.Now().After(deadline) {
+			return err
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// setSwitch sets switches of the platform stand-in, such as outage=on.
+func setSwitch(ts *testscript.TestScript, _ bool, args []string) {
+	values, err := url.ParseQuery(strings.Join(args, "&"))
+	ts.Check(err)
+	res, err := http.PostForm(ts.Getenv("ADMIN")+"/switch", values)
+	ts.Check(err)
+	defer func() { _ = res.Body.Close() }()
+	if res.StatusCode != http.StatusNoContent {
+		ts.Fatalf("switch %v: %s", args, res.Status)
+	}
+}
+
+var (
+	changeIDs = regexp.MustCompile(`\b[A-Z2-7]{26}\b`)
+	times     = regexp.MustCompile(`\d{4}-\d\d-\d\dT\d\d:\d\d:\d\dZ`)
+	ports     = regexp.MustCompile(`127\.0\.0\.1:\d+`)
+)
+
+// mask replaces what varies in the last standard output, or with the argument
+// stderr in the last error output, and writes it to the named file.
+func mask(ts *testscript.TestScript, _ bool, args []string) {
+	if len(args) != 2 {
+		ts.Fatalf("usage: mask stdout|stderr FILE")
+	}
+	text := ts.ReadFile(args[0])
+	text = changeIDs.ReplaceAllString(text, "CHANGE")
+	text = times.ReplaceAllString(text, "TIME")
+	text = ports.ReplaceAllString(text, "ADDRESS")
+	ts.Check(os.WriteFile(ts.MkAbs(args[1]), []byte(text), 0o600))
+}
