--- a/standin/auditor/auditor.go
+++ b/standin/auditor/auditor.go
@@ -148,12 +148,12 @@
 	}
 }
 
-// allowed says whether a flow broke because its zone had been taken out: it
-// ended after the acceptance, and was last heard before the zone returned.
+// allowed says whether a flow broke because its zone had been taken out: it was
+// opened before that had to be in force, and ended after the acceptance.
 func allowed(r *journal.Request, outages []Outage) bool {
 	for _, o := range outages {
 		if r.Zone == o.Zone && r.EndUnixMs >= o.AcceptedUnixMs &&
-			(o.ReturnedUnixMs == 0 || r.HeardUnixMs <= o.ReturnedUnixMs) {
+			r.StartUnixMs <= o.AcceptedUnixMs+maxZoneOutMs {
 			return true
 		}
 	}
--- a/standin/auditor/auditor_test.go
+++ b/standin/auditor/auditor_test.go
@@ -48,7 +48,7 @@
 		packets("ne-a", outAt+6000, outAt+9000),
 		entryOf(journal.Request{
 			ID: "gone", Kind: journal.KindStream, Outcome: journal.Broken, Whole: true, Final: true,
-			Zone: "ne-b", HeardUnixMs: outAt + late, EndUnixMs: outAt + late + 5000,
+			Zone: "ne-b", StartUnixMs: outAt - 10, EndUnixMs: outAt + late + 5000,
 		}))
 }
 
@@ -65,16 +65,17 @@
 	add := func(e journal.Entry) func([]journal.Entry) []journal.Entry {
 		return func(entries []journal.Entry) []journal.Entry { return append(entries, e) }
 	}
-	broken := func(zone string, heard, end int64) journal.Entry {
+	broken := func(zone string, start, end int64) journal.Entry {
 		return entryOf(journal.Request{
-			ID: "x", Outcome: journal.Broken, Whole: true, Final: true, Zone: zone, HeardUnixMs: heard, EndUnixMs: end,
+			ID: "x", Outcome: journal.Broken, Whole: true, Final: true, Zone: zone, StartUnixMs: start, EndUnixMs: end,
 		})
 	}
 	return map[string]func([]journal.Entry) []journal.Entry{
 		"broken elsewhere":        add(broken("ne-a", outAt+10, outAt+10)),
 		"broken, target unknown":  add(broken("", outAt+10, outAt+10)),
 		"broken before the zone":  add(broken("ne-b", outAt-2, outAt-1)),
-		"broken after the return": add(broken("ne-b", inAt+1, inAt+5000)),
+		"opened while out":        add(broken("ne-b", outAt+5001, inAt-1)),
+		"opened after the return": add(broken("ne-b", inAt+1, inAt+5000)),
 		"wrong service":           add(journal.Entry{Packets: &journal.Packets{WrongService: 1}}),
 		"collapse":                add(journal.Entry{Collapse: &journal.Collapse{Target: "bd-01"}}),
 		"late packet":             add(packets("ne-b", outAt+5001, outAt+5001)),
--- a/standin/cmd_report.go
+++ b/standin/cmd_report.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"os"
 	"path/filepath"
 	"strings"
 
@@ -39,7 +38,9 @@
 // Violations lists the promises that were broken.
 func (e *BrokenPromiseError) Violations() []string { return e.violations }
 
-func (e *BrokenPromiseError) Error() string { return strings.Join(e.violations, "; ") }
+func (e *BrokenPromiseError) Error() string {
+	return "broken promises: " + strings.Join(e.violations, "; ")
+}
 
 func report(_ context.Context, cmd *cli.Command) error {
 	entries, err := readJournals(cmd.String("journals"))
@@ -57,13 +58,8 @@
 	if err != nil {
 		return errors.Wrap(err, "encoding the report")
 	}
-	// The reasons go first, so that the report is the last line on a terminal.
-	violations := verdict.Violations()
-	for _, v := range violations {
-		fmt.Fprintln(os.Stderr, "broken promise:", v)
-	}
 	fmt.Println(string(line))
-	if len(violations) > 0 {
+	if violations := verdict.Violations(); len(violations) > 0 {
 		return &BrokenPromiseError{violations: violations}
 	}
 	return nil
--- a/standin/commands.go
+++ b/standin/commands.go
@@ -16,6 +16,7 @@
 		cmdTarget(),
 		cmdCaller(),
 		cmdLayout(),
+		cmdWait(),
 		cmdReport(),
 	}
 }
--- a/standin/requester/short.go
+++ b/standin/requester/short.go
@@ -18,8 +18,8 @@
 
 // Policy of short requests.
 const (
-	shortTimeout = 6 * time.Second
-	maxAttempts  = 3
+	shortTimeout = 4 * time.Second
+	maxAttempts  = 2
 	retryBackoff = 100 * time.Millisecond
 	itemBytes    = 4 << 10
 )
--- a/standin/requester/stream.go
+++ b/standin/requester/stream.go
@@ -95,6 +95,10 @@
 	if err != nil {
 		return 0, err
 	}
+	body, acknowledge := io.Pipe()
+	defer func() { _ = acknowledge.Close() }()
+	request.Body = body
+	request.ContentLength = -1
 	response, err := f.client.RoundTrip(request)
 	if err != nil {
 		return 0, errors.Wrap(withCause(requestCtx, err), "opening the stream")
@@ -116,6 +120,9 @@
 			return n + 1, nil
 		}
 		watchdog.Reset(stallTimeout)
+		if _, err := acknowledge.Write([]byte{'\n'}); err != nil {
+			return n + 1, errors.Wrap(withCause(requestCtx, err), "acknowledging a line")
+		}
 	}
 }
 
--- a/standin/responder/request.go
+++ b/standin/responder/request.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -14,12 +15,15 @@
 // streamInterval is the time between two lines of a stream.
 const streamInterval = time.Second
 
-// stream sends numbered lines until the caller ends the request.
+// stream sends numbered lines until the caller ends the request, each after the
+// caller has acknowledged the one before, so that it stalls when packets are
+// lost in either direction.
 func (t *Responder) stream(w http.ResponseWriter, r *http.Request) {
 	t.name(w)
 	t.run(r, journal.KindStream)
 	ticker := time.NewTicker(streamInterval)
 	defer ticker.Stop()
+	acknowledgement := make([]byte, 1)
 	for n := 0; ; n++ {
 		if _, err := fmt.Fprintf(w, "%d\n", n); err != nil {
 			return
@@ -27,6 +31,9 @@
 		if err := http.NewResponseController(w).Flush(); err != nil {
 			return
 		}
+		if _, err := io.ReadFull(r.Body, acknowledgement); err != nil {
+			return
+		}
 		select {
 		case <-r.Context().Done():
 			return
