End a peer's connection with the balancer

Cause: a stopping balancer took 8 s, 5 s more than its drain of 3 s: reads of record streams waited for the peer until the connection's idle timeout. Ruled out: the drain itself and the admin server, which ended at once. Conclusion: connections close with the context.

--- a/peer/peer.go
+++ b/peer/peer.go
@@ -220,6 +220,9 @@
 
 // serve reads all that one peer sends until its connection ends.
 func (n *Node) serve(ctx context.Context, conn *quic.Conn) {
+	// Ends the reads that wait for the peer.
+	stop := context.AfterFunc(ctx, func() { _ = conn.CloseWithError(goodbye, "") })
+	defer stop()
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return n.readHeartbeats(ctx, conn) })
 	group.Go(func() error { return n.readRecords(ctx, conn) })
