--- /dev/null
+++ b/forwarder/race_off_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package forwarder_test
+
+const raceEnabled = false
--- /dev/null
+++ b/forwarder/throughput_test.go
@@ -0,0 +1,116 @@
+package forwarder_test
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"runtime"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/gopacket/gopacket/layers"
+	"golang.org/x/sync/errgroup"
+
+	"trefoilspring.example/trefoilspring/batcher"
+	"trefoilspring.example/trefoilspring/operator"
+)
+
+// relay is the bare loop that the forwarder is measured against.
+func relay(conn *net.UDPConn, to netip.AddrPort) func(context.Context) error {
+	return func(ctx context.Context) error {
+		stop := context.AfterFunc(ctx, func() { _ = conn.SetReadDeadline(time.Unix(1, 0)) })
+		defer stop()
+		reader := batcher.NewReader(conn)
+		writer := batcher.NewWriter(conn)
+		for {
+			n, err := reader.Read()
+			if ctx.Err() != nil {
+				return nil
+			}
+			if err != nil {
+				return err
+			}
+			for i := range n {
+				writer.Add(reader.Datagram(i), to)
+			}
+			if _, err := writer.Flush(); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+// inFlight bounds the packets between the fabric and the target.
+const inFlight = 512
+
+// pump sends packets through and returns the packets a second and the
+// allocations a packet of the whole process.
+func (b *bench) pump(t testing.TB, packets int) (rate, allocations float64) {
+	datagram := datagramOf(t, &layers.UDP{SrcPort: 40000, DstPort: 443}, layers.IPProtocolUDP, 200)
+	var arrived atomic.Int64
+	var group errgroup.Group
+	group.Go(func() error {
+		reader := batcher.NewReader(b.target)
+		_ = b.target.SetReadDeadline(time.Now().Add(20 * time.Second))
+		for arrived.Load() < int64(packets) {
+			n, err := reader.Read()
+			if err != nil {
+				return err
+			}
+			arrived.Add(int64(n))
+		}
+		return nil
+	})
+	writer := batcher.NewWriter(b.fabric)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	begin := time.Now()
+	for sent := 0; sent < packets; {
+		if sent-int(arrived.Load()) > inFlight {
+			runtime.Gosched()
+			continue
+		}
+		for range batcher.Datagrams {
+			writer.Add(datagram, addressOf(b.data))
+		}
+		n, err := writer.Flush()
+		if err != nil {
+			t.Fatal(err)
+		}
+		sent += n
+	}
+	if err := group.Wait(); err != nil {
+		t.Fatal(err)
+	}
+	elapsed := time.Since(begin)
+	runtime.ReadMemStats(&after)
+	return float64(packets) / elapsed.Seconds(), float64(after.Mallocs-before.Mallocs) / float64(packets)
+}
+
+// minRatio is the aim: packets a second as a share of a bare relay's.
+const minRatio = 0.7
+
+// rounds is how often both are timed; the best ratio counts, since other work on
+// the machine can only slow either of them down.
+const rounds = 5
+
+func TestThroughputAgainstBareRelay(t *testing.T) {
+	const packets = 128 * 200
+	ours := start(t, operator.ZoneIn)
+	bare := &bench{fabric: listen(t), target: listen(t), data: listen(t)}
+	bare.run(t, relay(bare.data, addressOf(bare.target)))
+	best := 0.0
+	for range rounds {
+		bareRate, _ := bare.pump(t, packets)
+		ourRate, allocations := ours.pump(t, packets)
+		t.Logf("forwarder %.0f packets/s, bare relay %.0f packets/s, ratio %.2f, %.4f allocations a packet", ourRate, bareRate, ourRate/bareRate, allocations)
+		best = max(best, ourRate/bareRate)
+		if allocations > 0.05 {
+			t.Errorf("%.4f allocations a packet; the steady path has none", allocations)
+		}
+	}
+	if best < minRatio && !raceEnabled {
+		t.Errorf("the best ratio is %.2f, under %.2f", best, minRatio)
+	}
+}
