Send large documents as patches under one atomic root

The accepted document of 9,800 targets does not fit into one value, nor into the control budget for each change. The digest of the whole canonical document is checked however it was put together.

After three changes of one target each, the root has less than 2,048 bytes (TestLargeDocumentTravelsAsPatches).

--- a/cmd_check.go
+++ b/cmd_check.go
@@ -42,7 +42,7 @@
 	if err != nil {
 		return err
 	}
-	encoded, err := operator.Encode(d)
+	digest, err := operator.Digest(d)
 	if err != nil {
 		return err
 	}
@@ -50,6 +50,6 @@
 		AvailabilityZones: len(d.AvailabilityZones),
 		Services:          len(d.Services),
 		Targets:           len(d.Targets),
-		Digest:            operator.Digest(encoded),
+		Digest:            digest,
 	})
 }
--- a/operator/encoder.go
+++ b/operator/encoder.go
@@ -29,8 +29,11 @@
 	return d, nil
 }
 
-// Digest returns the SHA-256 of an encoded document in hexadecimal.
-func Digest(encoded []byte) string {
-	sum := sha256.Sum256(encoded)
-	return hex.EncodeToString(sum[:])
+// Digest returns the SHA-256 of the canonical encoding of d in hexadecimal.
+func Digest(d Document) (string, error) {
+	sum := sha256.New()
+	if err := json.MarshalWrite(sum, d, json.Deterministic(true)); err != nil {
+		return "", errors.Wrap(err, "encoding the document")
+	}
+	return hex.EncodeToString(sum.Sum(nil)), nil
 }
--- /dev/null
+++ b/publisher/chunker.go
@@ -0,0 +1,131 @@
+package publisher
+
+import (
+	"bytes"
+	"compress/gzip"
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/cockroachdb/errors"
+
+	"trefoilspring.example/trefoilspring/operator"
+	"trefoilspring.example/trefoilspring/platform"
+)
+
+const (
+	// chunkBytes is the size of a chunk of a snapshot.
+	chunkBytes = 512 << 10
+	// maxChunks bounds a snapshot.
+	maxChunks = 64
+	// maxDocumentBytes bounds an encoded document.
+	maxDocumentBytes = 64 << 20
+)
+
+func chunkKey(id string, n int) string {
+	return fmt.Sprintf("%s%s/%d", snapshotKey, id, n)
+}
+
+// writeSnapshot writes the document in chunks under the id of its change. No
+// other change writes there, so that a write may be repeated.
+func writeSnapshot(ctx context.Context, store *platform.Store, id string, encoded []byte) (int, error) {
+	packed, err := pack(encoded)
+	if err != nil {
+		return 0, err
+	}
+	chunks := 0
+	for len(packed) > 0 {
+		size := min(len(packed), chunkBytes)
+		if err := writeOnce(ctx, store, chunkKey(id, chunks), packed[:size]); err != nil {
+			return 0, errors.Wrap(err, "writing the snapshot")
+		}
+		packed = packed[size:]
+		chunks++
+	}
+	return chunks, nil
+}
+
+// writeOnce writes a key that never has another value.
+func writeOnce(ctx context.Context, store *platform.Store, key string, value []byte) error {
+	err := store.CompareAndSwap(ctx, key, 0, value)
+	var unknown *platform.UnknownOutcomeError
+	if errors.As(err, &unknown) {
+		err = store.CompareAndSwap(ctx, key, 0, value)
+	}
+	var conflict *platform.ConflictError
+	if errors.As(err, &conflict) {
+		return nil
+	}
+	return err
+}
+
+// readSnapshot reads a document and checks its digest.
+func readSnapshot(ctx context.Context, store *platform.Store, s Snapshot) (operator.Document, error) {
+	if s.Chunks > maxChunks {
+		return operator.Document{}, &RecordError{revision: s.Revision, cause: errors.Newf("%d chunks", s.Chunks)}
+	}
+	var packed bytes.Buffer
+	for n := range s.Chunks {
+		entry, err := store.Get(ctx, chunkKey(s.ID, n))
+		if err != nil {
+			return operator.Document{}, errors.Wrap(err, "reading the snapshot")
+		}
+		if !entry.Found() {
+			return operator.Document{}, &RecordError{revision: s.Revision, cause: errors.Newf("chunk %d is missing", n)}
+		}
+		packed.Write(entry.Value())
+	}
+	d, err := unpack(&packed, s.Digest)
+	if err != nil {
+		return operator.Document{}, &RecordError{revision: s.Revision, cause: err}
+	}
+	return d, nil
+}
+
+// deleteSnapshot removes a snapshot that nothing refers to; it is retried by
+// nobody, so that a failure leaves its chunks behind.
+func deleteSnapshot(ctx context.Context, store *platform.Store, s Snapshot) {
+	for n := range min(s.Chunks, maxChunks) {
+		entry, err := store.Get(ctx, chunkKey(s.ID, n))
+		if err == nil && entry.Found() {
+			_ = store.Delete(ctx, chunkKey(s.ID, n), entry.Index())
+		}
+	}
+}
+
+func pack(encoded []byte) ([]byte, error) {
+	var packed bytes.Buffer
+	w := gzip.NewWriter(&packed)
+	_, err := w.Write(encoded)
+	if err == nil {
+		err = w.Close()
+	}
+	return packed.Bytes(), errors.Wrap(err, "compressing the document")
+}
+
+func unpack(packed io.Reader, digest string) (operator.Document, error) {
+	r, err := gzip.NewReader(packed)
+	if err != nil {
+		return operator.Document{}, errors.Wrap(err, "decompressing the document")
+	}
+	encoded, err := io.ReadAll(io.LimitReader(r, maxDocumentBytes))
+	if err != nil {
+		return operator.Document{}, errors.Wrap(err, "decompressing the document")
+	}
+	d, err := operator.Decode(encoded)
+	if err != nil {
+		return operator.Document{}, err
+	}
+	return d, checkDigest(d, digest)
+}
+
+func checkDigest(d operator.Document, digest string) error {
+	found, err := operator.Digest(d)
+	if err != nil {
+		return err
+	}
+	if found != digest {
+		return errors.New("the digest differs")
+	}
+	return nil
+}
--- a/publisher/errors.go
+++ b/publisher/errors.go
@@ -22,14 +22,14 @@
 // first.
 type RaceError struct {
 	base  uint64
-	other Record
+	other Root
 }
 
 // Base returns the revision that the refused change was based on.
 func (e *RaceError) Base() uint64 { return e.base }
 
-// Other returns the record that is accepted in its place.
-func (e *RaceError) Other() Record { return e.other }
+// Other returns the root that is accepted in its place.
+func (e *RaceError) Other() Root { return e.other }
 
 func (e *RaceError) Error() string {
 	o := e.other
@@ -86,3 +86,19 @@
 func (e *NoRevisionError) Error() string {
 	return fmt.Sprintf("revision %d is not in the history", e.revision)
 }
+
+// GapError reports a root whose patches don't lead to it from the revision held.
+type GapError struct {
+	held     uint64
+	revision uint64
+}
+
+// Held returns the revision held.
+func (e *GapError) Held() uint64 { return e.held }
+
+// Revision returns the revision of the root.
+func (e *GapError) Revision() uint64 { return e.revision }
+
+func (e *GapError) Error() string {
+	return fmt.Sprintf("no patches lead from revision %d to %d", e.held, e.revision)
+}
--- a/publisher/history.go
+++ b/publisher/history.go
@@ -18,19 +18,7 @@
 	if current.index == 0 {
 		return nil
 	}
-	err := p.store.CompareAndSwap(ctx, historyKeyOf(current.record.Revision), 0, current.value)
-	var conflict *platform.ConflictError
-	if errors.As(err, &conflict) {
-		return nil
-	}
-	var unknown *platform.UnknownOutcomeError
-	if errors.As(err, &unknown) {
-		// The write may be repeated, since it can only write the same.
-		err = p.store.CompareAndSwap(ctx, historyKeyOf(current.record.Revision), 0, current.value)
-		if errors.As(err, &conflict) {
-			return nil
-		}
-	}
+	err := writeOnce(ctx, p.store, historyKeyOf(current.root.Revision), current.value)
 	return errors.Wrap(err, "archiving the accepted record")
 }
 
@@ -46,22 +34,36 @@
 		if err != nil || !entry.Found() {
 			return
 		}
+		p.pruneSnapshot(ctx, revision-HistoryLength-depth-1, entry)
 		if err := p.store.Delete(ctx, key, entry.Index()); err != nil {
 			return
 		}
 	}
 }
 
-// History returns the accepted record and those before it, the latest first, at
+// pruneSnapshot removes the snapshot of an archived root, if the revision after
+// it has another one: the roots that share a snapshot follow each other.
+func (p *Publisher) pruneSnapshot(ctx context.Context, revision uint64, entry platform.Entry) {
+	root, err := DecodeRoot(entry.Value())
+	if err != nil || root.Snapshot.Chunks == 0 {
+		return
+	}
+	after, err := p.archived(ctx, revision+1)
+	if err == nil && after.Snapshot.ID != root.Snapshot.ID {
+		deleteSnapshot(ctx, p.store, root.Snapshot)
+	}
+}
+
+// History returns the accepted root and those before it, the latest first, at
 // most limit of them.
-func (p *Publisher) History(ctx context.Context, limit int) ([]Record, error) {
-	current, err := p.Current(ctx)
-	if err != nil || current.Revision == 0 {
+func (p *Publisher) History(ctx context.Context, limit int) ([]Root, error) {
+	current, err := p.currentRoot(ctx)
+	if err != nil || current.index == 0 {
 		return nil, err
 	}
-	records := []Record{current}
-	for revision := current.Revision - 1; revision > 0 && len(records) < limit; revision-- {
-		record, err := p.archived(ctx, revision)
+	roots := []Root{current.root}
+	for revision := current.root.Revision - 1; revision > 0 && len(roots) < limit; revision-- {
+		root, err := p.archived(ctx, revision)
 		var none *NoRevisionError
 		if errors.As(err, &none) {
 			break
@@ -69,31 +71,36 @@
 		if err != nil {
 			return nil, err
 		}
-		records = append(records, record)
+		roots = append(roots, root)
 	}
-	return records, nil
+	return roots, nil
 }
 
 // Revision returns the record of one revision; its error is a NoRevisionError if
 // the history does not hold it.
 func (p *Publisher) Revision(ctx context.Context, revision uint64) (Record, error) {
-	current, err := p.Current(ctx)
+	current, err := p.currentRoot(ctx)
 	if err != nil {
 		return Record{}, err
 	}
-	if revision > 0 && current.Revision == revision {
-		return current, nil
+	root := current.root
+	if revision == 0 || root.Revision != revision {
+		root, err = p.archived(ctx, revision)
+	}
+	if err != nil {
+		return Record{}, err
 	}
-	return p.archived(ctx, revision)
+	record, _, err := Read(ctx, p.store, root, Record{})
+	return record, err
 }
 
-func (p *Publisher) archived(ctx context.Context, revision uint64) (Record, error) {
+func (p *Publisher) archived(ctx context.Context, revision uint64) (Root, error) {
 	entry, err := p.store.Get(ctx, historyKeyOf(revision))
 	if err != nil {
-		return Record{}, errors.Wrap(err, "reading the history")
+		return Root{}, errors.Wrap(err, "reading the history")
 	}
 	if !entry.Found() {
-		return Record{}, &NoRevisionError{revision: revision}
+		return Root{}, &NoRevisionError{revision: revision}
 	}
-	return Decode(entry.Value())
+	return DecodeRoot(entry.Value())
 }
--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -53,8 +54,10 @@
 	Changed bool
 }
 
-// accepted is the record in the platform; index is 0 if there is none.
+// accepted is the root in the platform with its record; index is 0 if there is
+// none.
 type accepted struct {
+	root   Root
 	record Record
 	index  uint64
 	value  []byte
@@ -63,10 +66,23 @@
 // Current returns the accepted record; its revision is 0 if there is none.
 func (p *Publisher) Current(ctx context.Context) (Record, error) {
 	current, err := p.current(ctx)
-	return current.record, err
+	if err != nil {
+		return Record{}, err
+	}
+	return current.record, nil
 }
 
 func (p *Publisher) current(ctx context.Context) (accepted, error) {
+	current, err := p.currentRoot(ctx)
+	if err != nil || current.index == 0 {
+		return accepted{}, err
+	}
+	current.record, _, err = Read(ctx, p.store, current.root, Record{})
+	return current, err
+}
+
+// currentRoot reads the root without its document.
+func (p *Publisher) currentRoot(ctx context.Context) (accepted, error) {
 	entry, err := p.store.Get(ctx, DocumentKey)
 	if err != nil {
 		return accepted{}, errors.Wrap(err, "reading the accepted record")
@@ -74,11 +90,11 @@
 	if !entry.Found() {
 		return accepted{}, nil
 	}
-	record, err := Decode(entry.Value())
+	root, err := DecodeRoot(entry.Value())
 	if err != nil {
 		return accepted{}, err
 	}
-	return accepted{record: record, index: entry.Index(), value: entry.Value()}, nil
+	return accepted{root: root, index: entry.Index(), value: entry.Value()}, nil
 }
 
 // Publish makes the proposal the accepted record. A document that is already
@@ -98,7 +114,7 @@
 		return Result{Record: current.record}, nil
 	}
 	if proposal.CheckBase && proposal.BasedOn != current.record.Revision {
-		return Result{}, &RaceError{base: proposal.BasedOn, other: current.record}
+		return Result{}, &RaceError{base: proposal.BasedOn, other: current.root}
 	}
 	if !proposal.AllowLargeChange {
 		if err := operator.CheckLoss(current.record.Document, next.Document); err != nil {
@@ -129,7 +145,7 @@
 	if err := operator.Validate(document); err != nil {
 		return Record{}, err
 	}
-	digest, err := digestOf(document)
+	digest, err := operator.Digest(document)
 	if err != nil {
 		return Record{}, err
 	}
@@ -143,8 +159,13 @@
 	}, nil
 }
 
+// write makes next the accepted record.
 func (p *Publisher) write(ctx context.Context, current accepted, next Record) error {
-	value, err := Encode(next)
+	root, err := p.prepare(ctx, current, next)
+	if err != nil {
+		return err
+	}
+	value, err := root.encode()
 	if err != nil {
 		return err
 	}
@@ -153,9 +174,63 @@
 	var unknown *platform.UnknownOutcomeError
 	switch {
 	case errors.As(err, &conflict), errors.As(err, &unknown):
-		return p.settle(ctx, current, next, err)
+		err = p.settle(ctx, current, next, err)
 	case err != nil:
-		return errors.Wrap(err, "writing the record")
+		err = errors.Wrap(err, "writing the record")
+	}
+	if isRefused(err) && root.Snapshot.ID == next.ChangeID {
+		deleteSnapshot(ctx, p.store, root.Snapshot)
+	}
+	return err
+}
+
+// prepare returns the root of next, after writing its snapshot if it needs one.
+func (p *Publisher) prepare(ctx context.Context, current accepted, next Record) (Root, error) {
+	encoded, err := operator.Encode(next.Document)
+	if err != nil {
+		return Root{}, err
+	}
+	root := Root{
+		Revision: next.Revision,
+		ChangeID: next.ChangeID,
+		Author:   next.Author,
+		Time:     next.Time,
+		Digest:   next.Digest,
+	}
+	if len(encoded) <= inlineBytes {
+		root.Document = encoded
+		return root, nil
+	}
+	root.Patches, err = nextPatches(current, next, encoded)
+	if err != nil {
+		return Root{}, err
+	}
+	root.Snapshot = current.root.Snapshot
+	covered := uint64(len(root.Patches)) >= root.Revision-root.Snapshot.Revision
+	if root.Snapshot.Chunks > 0 && covered && sizeSince(root.Patches, root.Snapshot.Revision) <= snapshotBytes {
+		return root, nil
+	}
+	chunks, err := writeSnapshot(ctx, p.store, next.ChangeID, encoded)
+	if err != nil {
+		return Root{}, err
+	}
+	root.Snapshot = Snapshot{Revision: next.Revision, ID: next.ChangeID, Chunks: chunks, Digest: next.Digest}
+	return root, nil
+}
+
+// nextPatches returns the patches of the root that follows current.
+func nextPatches(current accepted, next Record, encoded []byte) ([]Patch, error) {
+	if current.index == 0 {
+		return nil, nil
+	}
+	before, err := operator.Encode(current.record.Document)
+	if err != nil {
+		return nil, err
+	}
+	merge, err := operator.Patch(before, encoded)
+	if err != nil {
+		return nil, err
 	}
-	return nil
+	patch := Patch{Revision: next.Revision, ChangeID: next.ChangeID, Merge: merge}
+	return window(append(slices.Clone(current.root.Patches), patch)), nil
 }
--- a/publisher/record.go
+++ b/publisher/record.go
@@ -1,7 +1,12 @@
 // Package publisher puts the operators' document in force through the platform,
 // and holds the record in which it lies there.
 //
-// A change is accepted when the compare-and-swap of the record succeeded. Each
+// The accepted root is one small value. It holds a small document itself; a large
+// one lies beside it as a snapshot in chunks, which is written before the root,
+// and the root carries the merge patches of the latest revisions. Reader turns a
+// root into a whole record, by patches where it can.
+//
+// A change is accepted when the compare-and-swap of the root succeeded. Each
 // change has an id of its own, so that a write whose answer was lost is settled
 // by reading the record back; it is never repeated blindly.
 //
@@ -30,9 +35,10 @@
 
 // The platform's keys.
 const (
-	// DocumentKey holds the accepted record.
+	// DocumentKey holds the accepted root.
 	DocumentKey = "trefoilspring/document"
 	historyKey  = "trefoilspring/history/"
+	snapshotKey = "trefoilspring/snapshot/"
 )
 
 // HistoryLength is how many earlier revisions are kept.
@@ -49,7 +55,7 @@
 	Document operator.Document `json:"document"`
 }
 
-// Encode returns the record as it lies in the platform.
+// Encode returns the whole record, for a peer.
 func Encode(r Record) ([]byte, error) {
 	data, err := json.Marshal(r, json.Deterministic(true))
 	return data, errors.Wrap(err, "encoding the record")
@@ -68,7 +74,7 @@
 	if err := operator.Validate(r.Document); err != nil {
 		return Record{}, &RecordError{revision: r.Revision, cause: err}
 	}
-	digest, err := digestOf(r.Document)
+	digest, err := operator.Digest(r.Document)
 	if err != nil {
 		return Record{}, &RecordError{revision: r.Revision, cause: err}
 	}
@@ -78,14 +84,6 @@
 	return r, nil
 }
 
-func digestOf(d operator.Document) (string, error) {
-	encoded, err := operator.Encode(d)
-	if err != nil {
-		return "", err
-	}
-	return operator.Digest(encoded), nil
-}
-
 func historyKeyOf(revision uint64) string {
 	return historyKey + strconv.FormatUint(revision, 10)
 }
--- /dev/null
+++ b/publisher/scale_test.go
@@ -0,0 +1,214 @@
+package publisher_test
+
+import (
+	"fmt"
+	"net/netip"
+	"net/url"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"trefoilspring.example/trefoilspring/operator"
+	"trefoilspring.example/trefoilspring/platform"
+	"trefoilspring.example/trefoilspring/publisher"
+)
+
+// Sizes of the aim.
+const (
+	aimTargets   = 9800
+	aimAddresses = 2800
+	aimZones     = 17
+)
+
+// aimDocument returns a document of the aim's size, with one address a service.
+func aimDocument() operator.Document {
+	return largeDocument(aimTargets, aimAddresses)
+}
+
+func largeDocument(targets, services int) operator.Document {
+	d := operator.Document{
+		AvailabilityZones: map[string]operator.AvailabilityZone{},
+		Services:          map[string]operator.Service{},
+		Targets:           map[string]operator.Target{},
+	}
+	for i := range aimZones {
+		d.AvailabilityZones[fmt.Sprintf("zone-%02d", i)] = operator.AvailabilityZone{State: operator.ZoneIn}
+	}
+	for i := range services {
+		address := netip.AddrFrom4([4]byte{198, 18, byte(i >> 8), byte(i)})
+		d.Services[fmt.Sprintf("service-%04d", i)] = operator.Service{
+			Addresses: []netip.AddrPort{netip.AddrPortFrom(address, 443)},
+			Protocol:  operator.ProtocolQUIC,
+			ColdStart: operator.ColdStart{Flows: 40, Ramp: 30_000_000_000},
+		}
+	}
+	for i := range targets {
+		address := netip.AddrFrom4([4]byte{10, 1, byte(i >> 8), byte(i)})
+		d.Targets[fmt.Sprintf("target-%05d", i)] = operator.Target{
+			Service:          fmt.Sprintf("service-%04d", i%services),
+			AvailabilityZone: fmt.Sprintf("zone-%02d", i%aimZones),
+			Address:          netip.AddrPortFrom(address, 7001),
+			Health:           netip.AddrPortFrom(address, 7101),
+			State:            operator.TargetActive,
+			Weight:           1,
+		}
+	}
+	return d
+}
+
+// withWeight returns d with another weight of one target.
+func withWeight(d operator.Document, i, weight int) operator.Document {
+	targets := make(map[string]operator.Target, len(d.Targets))
+	for name, target := range d.Targets {
+		targets[name] = target
+	}
+	name := fmt.Sprintf("target-%05d", i)
+	target := targets[name]
+	target.Weight = weight
+	targets[name] = target
+	d.Targets = targets
+	return d
+}
+
+// At the aim's size a change travels as a small root, and whoever holds one of
+// the latest revisions needs no more than it.
+func TestLargeDocumentTravelsAsPatches(t *testing.T) {
+	is := is.New(t)
+	store, k := newStore(t)
+	p := publisher.New(store, "ops")
+	d := aimDocument()
+	first, err := p.Publish(t.Context(), publisher.Proposal{Document: d})
+	is.NoErr(err)
+	held := first.Record
+	for n := range 3 {
+		d = withWeight(d, n, 2+n)
+		_, err := p.Publish(t.Context(), publisher.Proposal{Document: d})
+		is.NoErr(err)
+	}
+	entry, err := store.Get(t.Context(), publisher.DocumentKey)
+	is.NoErr(err)
+	is.True(len(entry.Value()) < 2048)
+	root, err := publisher.DecodeRoot(entry.Value())
+	is.NoErr(err)
+	is.Equal(root.Snapshot.Revision, uint64(1))
+	before := k.Calls()
+	record, source, err := publisher.Read(t.Context(), store, root, held)
+	is.NoErr(err)
+	is.Equal(source, publisher.FromPatches)
+	is.Equal(k.Calls(), before)
+	is.Equal(record.Document.Targets["target-00002"].Weight, 4)
+
+	// A newcomer reads the snapshot; a record of another branch does too.
+	fresh, source, err := publisher.Read(t.Context(), store, root, publisher.Record{})
+	is.NoErr(err)
+	is.Equal(source, publisher.FromSnapshot)
+	is.Equal(fresh.Digest, record.Digest)
+	held.Document = withWeight(held.Document, 77, 77)
+	_, source, err = publisher.Read(t.Context(), store, root, held)
+	is.NoErr(err)
+	is.Equal(source, publisher.FromSnapshot)
+}
+
+// A change that is too large for the window is read from a new snapshot.
+func TestLargeChangeWritesSnapshot(t *testing.T) {
+	is := is.New(t)
+	store, _ := newStore(t)
+	p := publisher.New(store, "ops")
+	d := largeDocument(1000, 100)
+	first, err := p.Publish(t.Context(), publisher.Proposal{Document: d})
+	is.NoErr(err)
+	d = withWeight(d, 0, 2)
+	for i := range 500 {
+		d.Targets[fmt.Sprintf("target-%05d", i)] = operator.Target{
+			Service:          d.Targets[fmt.Sprintf("target-%05d", i)].Service,
+			AvailabilityZone: "zone-03",
+			Address:          d.Targets[fmt.Sprintf("target-%05d", i)].Address,
+		}
+	}
+	_, err = p.Publish(t.Context(), publisher.Proposal{Document: d})
+	is.NoErr(err)
+	entry, err := store.Get(t.Context(), publisher.DocumentKey)
+	is.NoErr(err)
+	root, err := publisher.DecodeRoot(entry.Value())
+	is.NoErr(err)
+	is.Equal(root.Snapshot.Revision, uint64(2))
+	record, source, err := publisher.Read(t.Context(), store, root, first.Record)
+	is.NoErr(err)
+	is.Equal(source, publisher.FromSnapshot)
+	is.Equal(len(operator.Diff(record.Document, d)), 0)
+	back, err := p.Rollback(t.Context(), 1, publisher.Proposal{})
+	is.NoErr(err)
+	is.Equal(back.Record.Digest, first.Record.Digest)
+}
+
+// Snapshots that no revision of the history needs are removed.
+func TestSnapshotsArePruned(t *testing.T) {
+	is := is.New(t)
+	store, _ := newStore(t)
+	p := publisher.New(store, "ops")
+	first, err := p.Publish(t.Context(), publisher.Proposal{Document: document(100)})
+	is.NoErr(err)
+	key := "trefoilspring/snapshot/" + first.Record.ChangeID + "/0"
+	entry, err := store.Get(t.Context(), key)
+	is.NoErr(err)
+	is.True(entry.Found())
+	for n := range 2 * publisher.HistoryLength {
+		_, err := p.Publish(t.Context(), publisher.Proposal{Document: document(100 + 1 + n%2)})
+		is.NoErr(err)
+	}
+	entry, err = store.Get(t.Context(), key)
+	is.NoErr(err)
+	is.True(!entry.Found())
+	oldest, err := p.Revision(t.Context(), 1+publisher.HistoryLength)
+	is.NoErr(err)
+	is.True(len(oldest.Document.Targets) > 100)
+}
+
+// A snapshot whose chunk is missing or changed is never taken.
+func TestDamagedSnapshotIsRefused(t *testing.T) {
+	is := is.New(t)
+	store, k := newStore(t)
+	p := publisher.New(store, "ops")
+	first, err := p.Publish(t.Context(), publisher.Proposal{Document: document(100)})
+	is.NoErr(err)
+	other, err := p.Publish(t.Context(), publisher.Proposal{Document: document(170), AllowLargeChange: true})
+	is.NoErr(err)
+	is.Equal(other.Record.Revision, uint64(2))
+	entry, err := store.Get(t.Context(), publisher.DocumentKey)
+	is.NoErr(err)
+	changed := strings.ReplaceAll(string(entry.Value()), other.Record.Digest, first.Record.Digest)
+	root, err := publisher.DecodeRoot([]byte(changed))
+	is.NoErr(err)
+	_, _, err = publisher.Read(t.Context(), store, root, publisher.Record{})
+	var invalid *publisher.RecordError
+	is.True(errors.As(err, &invalid))
+	is.NoErr(k.Switch(url.Values{"outage": {"on"}}))
+	_, _, err = publisher.Read(t.Context(), store, root, publisher.Record{})
+	var down *platform.UnavailableError
+	is.True(errors.As(err, &down))
+}
+
+func BenchmarkAdvance(b *testing.B) {
+	d := aimDocument()
+	held := publisher.Record{Revision: 1, ChangeID: "one", Document: d}
+	next := withWeight(d, 7, 9)
+	before, _ := operator.Encode(d)
+	after, _ := operator.Encode(next)
+	merge, err := operator.Patch(before, after)
+	if err != nil {
+		b.Fatal(err)
+	}
+	digest, _ := operator.Digest(next)
+	root := publisher.Root{
+		Revision: 2, ChangeID: "two", Digest: digest,
+		Patches: []publisher.Patch{{Revision: 2, ChangeID: "two", Merge: merge}},
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := publisher.Advance(root, held); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/publisher/settler.go
+++ b/publisher/settler.go
@@ -33,20 +33,24 @@
 	return errors.As(err, &race) || errors.As(err, &not)
 }
 
+// isRefused reports whether err says that the change is not and will never be
+// accepted.
+func isRefused(err error) bool { return err != nil && isVerdict(err) }
+
 // settleOnce returns nil if next was accepted, a permanent error if it was not
 // and never will be, and any other error if that is still open.
 func (p *Publisher) settleOnce(ctx context.Context, current accepted, next Record, cause error) error {
-	now, err := p.current(ctx)
+	now, err := p.currentRoot(ctx)
 	if err != nil {
 		return err
 	}
 	switch {
-	case now.record.ChangeID == next.ChangeID:
+	case now.root.ChangeID == next.ChangeID:
 		return nil
-	case now.record.Revision > next.Revision:
+	case now.root.Revision > next.Revision:
 		return p.settleByHistory(ctx, now, next)
 	case now.index != current.index:
-		return backoff.Permanent(&RaceError{base: current.record.Revision, other: now.record})
+		return backoff.Permanent(&RaceError{base: current.root.Revision, other: now.root})
 	case now.index == 0:
 		// Nothing can be written over an absent record without making one.
 		return errors.Wrap(cause, "the record is still absent")
@@ -70,12 +74,12 @@
 	if !entry.Found() {
 		return errors.Newf("revision %d is not in the history", next.Revision)
 	}
-	archived, err := Decode(entry.Value())
+	archived, err := DecodeRoot(entry.Value())
 	if err != nil {
 		return err
 	}
 	if archived.ChangeID == next.ChangeID {
 		return nil
 	}
-	return backoff.Permanent(&RaceError{base: next.Revision - 1, other: now.record})
+	return backoff.Permanent(&RaceError{base: next.Revision - 1, other: now.root})
 }
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
+	"github.com/cockroachdb/errors"
 
 	"trefoilspring.example/trefoilspring/platform"
 	"trefoilspring.example/trefoilspring/publisher"
@@ -25,6 +26,9 @@
 	// OnDocument is called with each record that comes in force, one at a time
 	// and with growing revisions.
 	OnDocument func(publisher.Record)
+	// OnRoot is called after OnDocument with a root that was read from the
+	// platform, for telling peers.
+	OnRoot func(publisher.Root)
 	// Wait is how long one query waits for a change.
 	Wait time.Duration
 	// Log gets one line for each change of state.
@@ -33,6 +37,7 @@
 	mu       sync.Mutex
 	core     Core
 	record   publisher.Record
+	sources  map[publisher.Source]uint64
 	invalid  uint64
 	failures uint64
 }
@@ -42,8 +47,10 @@
 	return &Watcher{
 		store:      store,
 		OnDocument: func(publisher.Record) {},
+		OnRoot:     func(publisher.Root) {},
 		Wait:       platform.DefaultWait,
 		Log:        slog.New(slog.DiscardHandler),
+		sources:    map[publisher.Source]uint64{},
 	}
 }
 
@@ -79,10 +86,11 @@
 		state.after = 0
 		return false
 	}
-	state.after = platform.NextIndex(state.after, entry.StoreIndex())
-	if entry.Found() {
-		w.read(entry)
+	if entry.Found() && !w.read(ctx, entry) {
+		state.after = 0
+		return false
 	}
+	state.after = platform.NextIndex(state.after, entry.StoreIndex())
 	return true
 }
 
@@ -134,16 +142,78 @@
 	return w.failures
 }
 
-func (w *Watcher) read(entry platform.Entry) {
-	r, err := publisher.Decode(entry.Value())
+// read takes up a root, and reports whether the platform answered all it took.
+func (w *Watcher) read(ctx context.Context, entry platform.Entry) bool {
+	root, err := publisher.DecodeRoot(entry.Value())
+	if err == nil {
+		_, err = w.TellRoot(ctx, root)
+	}
+	var invalid *publisher.RecordError
+	switch {
+	case err == nil:
+		return true
+	case errors.As(err, &invalid):
+		w.refuse(err)
+		return true
+	}
+	w.Log.Warn("snapshot not read", "error", err)
+	return false
+}
+
+// refuse counts an invalid record.
+func (w *Watcher) refuse(err error) {
+	w.mu.Lock()
+	w.invalid++
+	w.mu.Unlock()
+	w.Log.Error("invalid record ignored", "error", err)
+}
+
+// TellRoot offers a root, and reads its snapshot from the platform if its patches
+// don't lead to it from the revision in force. Its errors are those of
+// publisher.Read.
+func (w *Watcher) TellRoot(ctx context.Context, root publisher.Root) (Verdict, error) {
+	held := w.Record()
+	if root.Revision <= held.Revision {
+		return w.Tell(publisher.Record{Revision: root.Revision, ChangeID: root.ChangeID}), nil
+	}
+	record, source, err := publisher.Read(ctx, w.store, root, held)
 	if err != nil {
-		w.mu.Lock()
-		w.invalid++
-		w.mu.Unlock()
-		w.Log.Error("invalid record ignored", "error", err)
-		return
+		return 0, err
 	}
-	w.Tell(r)
+	w.count(source)
+	verdict := w.Tell(record)
+	if verdict == Taken {
+		w.OnRoot(root)
+	}
+	return verdict, nil
+}
+
+// TellPatches offers a root of a peer by its patches alone. Its error is a
+// publisher.GapError if they don't lead to it from the revision in force.
+func (w *Watcher) TellPatches(root publisher.Root) (Verdict, error) {
+	held := w.Record()
+	if root.Revision <= held.Revision {
+		return w.Tell(publisher.Record{Revision: root.Revision, ChangeID: root.ChangeID}), nil
+	}
+	record, err := publisher.Advance(root, held)
+	if err != nil {
+		return 0, err
+	}
+	w.count(publisher.FromPatches)
+	return w.Tell(record), nil
+}
+
+func (w *Watcher) count(source publisher.Source) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.sources[source]++
+}
+
+// Sources returns how many records came from a source.
+func (w *Watcher) Sources(source publisher.Source) uint64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.sources[source]
 }
 
 // logTurn counts a failure, and logs when the platform fails or comes back.
