Bind what a peer says to the name in its certificate

Cause: any balancer with a certificate of the authority could send heartbeats and requests in another's name, and so keep a dead one alive. Ruled out: a certificate pinned for each peer; VMs are replaced at any time. Before: TestPeerCannotSpeakForAnother fails with the check switched off; after: it passes, and so do the tests for another authority, an expired certificate, a server of another name and replaced files (go test -race ./peer, 6.2 s). The issuer of throw-away certificates moves to a package of its own for them.

--- a/peer/peer.go
+++ b/peer/peer.go
@@ -224,15 +224,26 @@
 	stop := context.AfterFunc(ctx, func() { _ = conn.CloseWithError(goodbye, "") })
 	defer stop()
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return n.readHeartbeats(ctx, conn) })
+	from := nameOf(conn)
+	group.Go(func() error { return n.readHeartbeats(ctx, conn, from) })
 	group.Go(func() error { return n.readRecords(ctx, conn) })
-	group.Go(func() error { return n.readRequests(ctx, conn) })
+	group.Go(func() error { return n.readRequests(ctx, conn, from) })
 	// The reason for the end is the peer's; the detector judges what it means.
 	_ = group.Wait()
 	_ = conn.CloseWithError(goodbye, "")
 }
 
-func (n *Node) readHeartbeats(ctx context.Context, conn *quic.Conn) error {
+// nameOf returns the name that the peer's certificate vouches for.
+func nameOf(conn *quic.Conn) string {
+	certificates := conn.ConnectionState().TLS.PeerCertificates
+	if len(certificates) == 0 || len(certificates[0].DNSNames) == 0 {
+		return ""
+	}
+	return certificates[0].DNSNames[0]
+}
+
+func (n *Node) readHeartbeats(ctx context.Context, conn *quic.Conn, from string) error {
+	sender := tracker.NewMemberID(from)
 	for {
 		datagram, err := conn.ReceiveDatagram(ctx)
 		if err != nil {
@@ -243,6 +254,10 @@
 			n.Count("malformed-heartbeat", 1)
 			continue
 		}
+		if m.From != sender {
+			n.Count("forged-sender", 1)
+			continue
+		}
 		n.Count("heartbeats-received", 1)
 		n.OnHeartbeat(m)
 	}
--- a/peer/request.go
+++ b/peer/request.go
@@ -24,20 +24,20 @@
 	Contacts []Contact         `cbor:"contacts,omitempty"`
 }
 
-func (n *Node) readRequests(ctx context.Context, conn *quic.Conn) error {
+func (n *Node) readRequests(ctx context.Context, conn *quic.Conn, from string) error {
 	for {
 		stream, err := conn.AcceptStream(ctx)
 		if err != nil {
 			return err
 		}
 		n.group.Go(func() error {
-			n.answer(stream)
+			n.answer(stream, from)
 			return nil
 		})
 	}
 }
 
-func (n *Node) answer(stream *quic.Stream) {
+func (n *Node) answer(stream *quic.Stream, from string) {
 	defer stream.Close()
 	data, err := io.ReadAll(io.LimitReader(stream, maxMessageBytes))
 	if err != nil {
@@ -49,6 +49,10 @@
 		n.Count("malformed-request", 1)
 		return
 	}
+	if q.From.Name != from {
+		n.Count("forged-sender", 1)
+		return
+	}
 	n.AddContacts([]Contact{q.From})
 	a := answer{Reply: n.OnRequest(q.From.ID(), q.Request)}
 	if q.Request.Join {
--- a/standin/arranger/balancers.go
+++ b/standin/arranger/balancers.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"trefoilspring.example/trefoilspring/operator"
+	"trefoilspring.example/trefoilspring/standin/issuer"
 )
 
 // drainTime is how long a balancer that stops goes on forwarding.
@@ -61,12 +62,12 @@
 }
 
 func (p Plan) writeBalancers() error {
-	authority, err := newAuthority()
+	authority, err := issuer.New()
 	if err != nil {
 		return err
 	}
 	authorityPath := p.path("tls", "authority.pem")
-	if err := authority.write(authorityPath); err != nil {
+	if err := authority.Write(authorityPath); err != nil {
 		return err
 	}
 	all := p.balancers()
@@ -76,7 +77,7 @@
 			Key:         p.path("tls", b.name+".key"),
 			Authority:   authorityPath,
 		}
-		if err := authority.issue(b.name, b.peer.Addr(), files.Certificate, files.Key); err != nil {
+		if err := authority.Issue(issuer.Subject{Name: b.name, Address: b.peer.Addr()}, files.Certificate, files.Key); err != nil {
 			return err
 		}
 		if err := p.writeJSON("settings", "balancer-"+b.name+".json", p.balancerSettings(b, all, files)); err != nil {
