--- a/standin/auditor/auditor_test.go
+++ b/standin/auditor/auditor_test.go
@@ -43,6 +43,11 @@
 	}
 	late := rapid.Int64Range(0, 5000).Draw(t, "late")
 	return append(entries,
+		arrival("in-handshake", "ne-b", outAt), arrival("in-handshake", "ne-c", outAt+50),
+		entryOf(journal.Request{
+			ID: "in-handshake", Flow: "in-handshake", Kind: journal.KindItem, Outcome: journal.Broken, Whole: true,
+			Final: true, StartUnixMs: outAt, EndUnixMs: outAt + 4000,
+		}),
 		packets("ne-b", outAt-10, outAt+late),
 		packets("ne-b", inAt, inAt+500),
 		packets("ne-a", outAt+6000, outAt+9000),
@@ -54,6 +59,10 @@
 
 func entryOf(r journal.Request) journal.Entry { return journal.Entry{Request: &r} }
 
+func arrival(flow, zone string, at int64) journal.Entry {
+	return journal.Entry{Arrival: &journal.Arrival{Flow: flow, Zone: zone, UnixMs: at}}
+}
+
 func packets(zone string, first, last int64) journal.Entry {
 	return journal.Entry{Packets: &journal.Packets{
 		Target: "t-" + zone, Zone: zone, Service: "booking-desk", Count: 2, FirstUnixMs: first, LastUnixMs: last,
@@ -71,8 +80,14 @@
 		})
 	}
 	return map[string]func([]journal.Entry) []journal.Entry{
-		"broken elsewhere":        add(broken("ne-a", outAt+10, outAt+10)),
-		"broken, target unknown":  add(broken("", outAt+10, outAt+10)),
+		"broken elsewhere":       add(broken("ne-a", outAt+10, outAt+10)),
+		"broken, target unknown": add(broken("", outAt+10, outAt+10)),
+		"broken in handshake elsewhere": func(entries []journal.Entry) []journal.Entry {
+			return append(entries, arrival("x", "ne-a", outAt), arrival("x", "ne-b", outAt+1), entryOf(journal.Request{
+				ID: "x", Flow: "x", Outcome: journal.Broken, Whole: true, Final: true,
+				StartUnixMs: outAt, EndUnixMs: outAt + 4000,
+			}))
+		},
 		"broken before the zone":  add(broken("ne-b", outAt-2, outAt-1)),
 		"opened while out":        add(broken("ne-b", outAt+5001, inAt-1)),
 		"opened after the return": add(broken("ne-b", inAt+1, inAt+5000)),
--- a/standin/journal/entry.go
+++ b/standin/journal/entry.go
@@ -63,6 +63,14 @@
 	UnixMs  int64  `json:"unix-ms"`
 }
 
+// Arrival is the first packet of a flow that reached a target.
+type Arrival struct {
+	Target string `json:"target"`
+	Zone   string `json:"zone"`
+	Flow   string `json:"flow"`
+	UnixMs int64  `json:"unix-ms"`
+}
+
 // Packets sums the packets that reached a target since its last entry.
 type Packets struct {
 	Target       string `json:"target"`
--- a/standin/journal/journal.go
+++ b/standin/journal/journal.go
@@ -30,6 +30,7 @@
 type Entry struct {
 	Request  *Request  `json:"request,omitempty"`
 	Run      *Run      `json:"run,omitempty"`
+	Arrival  *Arrival  `json:"arrival,omitempty"`
 	Packets  *Packets  `json:"packets,omitempty"`
 	Collapse *Collapse `json:"collapse,omitempty"`
 }
--- a/standin/responder/responder.go
+++ b/standin/responder/responder.go
@@ -81,6 +81,7 @@
 		warmth:   newWarmth(time.Duration(s.Cold), s.ColdFlows, time.Now()),
 	}
 	link.Received = t.packets.receive
+	link.Arrived = t.recordArrival
 	link.Unclaimed = func(wrapper.Datagram) { t.packets.reject() }
 	return t, nil
 }
@@ -165,6 +166,12 @@
 	t.link.Mute(false)
 }
 
+func (t *Responder) recordArrival(source netip.AddrPort, now time.Time) {
+	t.record(journal.Entry{Arrival: &journal.Arrival{
+		Target: t.settings.Name, Zone: t.settings.AvailabilityZone, Flow: source.String(), UnixMs: now.UnixMilli(),
+	}})
+}
+
 func (t *Responder) record(e journal.Entry) {
 	if err := t.journal.Append(e); err != nil {
 		slog.Error("journal failed", "target", t.settings.Name, "error", err.Error())
--- /dev/null
+++ b/standin/responder/responder_test.go
@@ -0,0 +1,163 @@
+package responder_test
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/netip"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
+
+	"trefoilspring.example/trefoilspring/operator"
+	"trefoilspring.example/trefoilspring/standin/auditor"
+	"trefoilspring.example/trefoilspring/standin/journal"
+	"trefoilspring.example/trefoilspring/standin/requester"
+	"trefoilspring.example/trefoilspring/standin/responder"
+	"trefoilspring.example/trefoilspring/standin/wrapper"
+)
+
+func serviceAddress() netip.AddrPort { return netip.MustParseAddrPort("198.51.100.10:443") }
+
+func loopback() netip.AddrPort { return netip.MustParseAddrPort("127.0.0.1:0") }
+
+// exchange runs one target and one caller process over a wire that sends what
+// comes from the target to the caller and all else to the target.
+func exchange(t *testing.T, s responder.Settings, load requester.Load) []journal.Entry {
+	t.Helper()
+	is := is.New(t)
+	folder := t.TempDir()
+	wire, err := wrapper.ListenUDP("127.0.0.1:0")
+	is.NoErr(err)
+	s.Name, s.Service, s.AvailabilityZone = "bd-01", load.Service, "ne-a"
+	s.Address, s.HealthAddress = loopback(), loopback()
+	s.FabricAddress = netip.MustParseAddrPort(wire.LocalAddr().String())
+	s.ServiceAddresses = []netip.AddrPort{serviceAddress()}
+	s.Journal = filepath.Join(folder, "bd-01.jsonl")
+	target, err := responder.New(s)
+	is.NoErr(err)
+	caller, err := requester.New(requester.Settings{
+		Name: "c1", FabricAddress: s.FabricAddress, Loads: []requester.Load{load},
+		SourcePrefixes: []netip.Prefix{netip.MustParsePrefix("203.0.113.0/24")},
+		Duration:       operator.Duration(500 * time.Millisecond), Journal: filepath.Join(folder, "c1.jsonl"),
+	})
+	is.NoErr(err)
+
+	ctx, cancel := context.WithCancel(context.Background())
+	var group errgroup.Group
+	group.Go(func() error { return target.Run(ctx) })
+	group.Go(func() error {
+		var from netip.AddrPort
+		_ = wrapper.ReadBatch(wire, func(data []byte, sender netip.AddrPort) {
+			to := target.Address()
+			if sender == to {
+				to = from
+			} else {
+				from = sender
+			}
+			_, _ = wire.WriteToUDPAddrPort(data, to)
+		})
+		return nil
+	})
+	is.NoErr(caller.Run(ctx))
+	cancel()
+	is.NoErr(wire.Close())
+	is.NoErr(group.Wait())
+	var entries []journal.Entry
+	for _, path := range []string{"c1.jsonl", "bd-01.jsonl"} {
+		e, err := journal.Read(filepath.Join(folder, path))
+		is.NoErr(err)
+		entries = append(entries, e...)
+	}
+	return entries
+}
+
+func TestBusyTargetShedsWhatItDidNotRun(t *testing.T) {
+	is := is.New(t)
+	s := responder.Settings{Slots: 1, WorkTime: operator.Duration(300 * time.Millisecond)}
+	load := requester.Load{Service: "booking-desk", Address: serviceAddress(), Rate: 40, NonIdempotentShare: 1}
+	verdict := auditor.Judge(auditor.Input{Entries: exchange(t, s, load)})
+	is.Equal(verdict.Violations(), nil)
+	is.True(verdict.Answered > 0)
+	is.True(verdict.RefusedNotRun > 0)
+}
+
+func TestColdTargetCollapsesWhenOverfed(t *testing.T) {
+	is := is.New(t)
+	s := responder.Settings{
+		Slots: 1, Cold: operator.Duration(time.Minute), ColdFlows: 2,
+		Collapse: operator.Duration(100 * time.Millisecond),
+	}
+	load := requester.Load{Service: "booking-desk", Address: serviceAddress(), Streams: 4}
+	verdict := auditor.Judge(auditor.Input{Entries: exchange(t, s, load)})
+	is.True(verdict.Collapses > 0)
+}
+
+func TestPacketForAnotherServiceIsJournalled(t *testing.T) {
+	is := is.New(t)
+	load := requester.Load{Service: "booking-desk", Address: netip.MustParseAddrPort("198.51.100.20:443"), Rate: 10}
+	verdict := auditor.Judge(auditor.Input{Entries: exchange(t, responder.Settings{Slots: 1}, load)})
+	is.True(verdict.WrongService > 0)
+	is.Equal(verdict.Answered, 0)
+}
+
+func TestHealthLiesAndLags(t *testing.T) {
+	is := is.New(t)
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	health := netip.MustParseAddrPort(free.Addr().String())
+	is.NoErr(free.Close())
+	target, err := responder.New(responder.Settings{
+		Name: "bd-01", Service: "booking-desk", AvailabilityZone: "ne-a", Slots: 3,
+		Address: loopback(), HealthAddress: health, FabricAddress: loopback(),
+		ServiceAddresses: []netip.AddrPort{serviceAddress()},
+		Cold:             operator.Duration(time.Minute),
+		Journal:          filepath.Join(t.TempDir(), "bd-01.jsonl"),
+	})
+	is.NoErr(err)
+	ctx, cancel := context.WithCancel(context.Background())
+	var group errgroup.Group
+	group.Go(func() error { return target.Run(ctx) })
+	url := "http://" + health.String()
+	for {
+		response, err := http.Get(url + "/health")
+		if err == nil {
+			is.NoErr(response.Body.Close())
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	steps := []struct {
+		query string
+		want  responder.State
+	}{
+		{"", responder.StateCold},
+		{"lie=healthy", responder.StateServing},
+		{"lie=off&drain=1", responder.StateDraining},
+		{"lag=1m&drain=0", responder.StateDraining},
+		{"lag=0s", responder.StateCold},
+	}
+	for _, step := range steps {
+		response, err := http.Post(url+"/switch?"+step.query, "", http.NoBody)
+		is.NoErr(err)
+		is.NoErr(response.Body.Close())
+		is.Equal(state(t, url), step.want) // After the switch of this step.
+	}
+	cancel()
+	is.NoErr(group.Wait())
+}
+
+func state(t *testing.T, url string) responder.State {
+	t.Helper()
+	is := is.New(t)
+	response, err := http.Get(url + "/health")
+	is.NoErr(err)
+	defer func() { is.NoErr(response.Body.Close()) }()
+	var report responder.Report
+	is.NoErr(json.NewDecoder(response.Body).Decode(&report))
+	return report.State
+}
--- a/standin/wrapper/link.go
+++ b/standin/wrapper/link.go
@@ -25,6 +25,9 @@
 	// Unclaimed is called for a packet whose inner destination has no conn; it
 	// may be nil and is set before Run.
 	Unclaimed func(Datagram)
+	// Arrived is called for the first datagram of each inner source that has a
+	// conn; it may be nil and is set before Run.
+	Arrived func(source netip.AddrPort, now time.Time)
 	// Received is called for each packet before it is delivered; it may be nil
 	// and is set before Run.
 	Received func(now time.Time)
@@ -34,6 +37,9 @@
 
 	mu    sync.RWMutex
 	conns map[netip.AddrPort]*Conn
+
+	// arrived belongs to the goroutine that reads the socket.
+	arrived map[netip.AddrPort]struct{}
 }
 
 // Listen opens the outer socket at address.
@@ -42,7 +48,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Link{socket: socket, conns: map[netip.AddrPort]*Conn{}}, nil
+	return &Link{socket: socket, conns: map[netip.AddrPort]*Conn{}, arrived: map[netip.AddrPort]struct{}{}}, nil
 }
 
 // ListenUDP opens a UDP socket with large buffers.
@@ -140,9 +146,21 @@
 		}
 		return
 	}
+	l.noteArrival(d.Source)
 	c.push(packet{from: d.Source, payload: append([]byte(nil), d.Payload...)})
 }
 
+func (l *Link) noteArrival(source netip.AddrPort) {
+	if l.Arrived == nil {
+		return
+	}
+	if _, known := l.arrived[source]; known {
+		return
+	}
+	l.arrived[source] = struct{}{}
+	l.Arrived(source, time.Now())
+}
+
 func (l *Link) find(local netip.AddrPort) *Conn {
 	l.mu.RLock()
 	defer l.mu.RUnlock()
--- /dev/null
+++ b/standin/wrapper/wrapper_test.go
@@ -0,0 +1,57 @@
+package wrapper_test
+
+import (
+	"net/netip"
+	"testing"
+
+	"github.com/gopacket/gopacket"
+	"github.com/gopacket/gopacket/layers"
+	"github.com/matryer/is"
+
+	"trefoilspring.example/trefoilspring/standin/wrapper"
+)
+
+func endpoints() map[string][2]netip.AddrPort {
+	return map[string][2]netip.AddrPort{
+		"ipv4": {netip.MustParseAddrPort("203.0.113.1:10000"), netip.MustParseAddrPort("198.51.100.10:443")},
+		"ipv6": {netip.MustParseAddrPort("[2001:db8::1]:10000"), netip.MustParseAddrPort("[2001:db8::2]:443")},
+	}
+}
+
+func TestEncodeIsReadBackWithRightChecksums(t *testing.T) {
+	for name, ends := range endpoints() {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			data, err := wrapper.Encode(ends[0], ends[1], []byte("payload"))
+			is.NoErr(err)
+			d, err := wrapper.Decode(data)
+			is.NoErr(err)
+			is.Equal(d.Source, ends[0])
+			is.Equal(d.Destination, ends[1])
+			is.Equal(string(d.Payload), "payload")
+			packet := gopacket.NewPacket(data, layers.LayerTypeGeneve, gopacket.Default)
+			udp := packet.Layer(layers.LayerTypeUDP).(*layers.UDP)
+			is.NoErr(udp.SetNetworkLayerForChecksum(packet.NetworkLayer()))
+			faults, mismatches := packet.VerifyChecksums()
+			is.NoErr(faults)
+			is.Equal(len(mismatches), 0)
+		})
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	for _, ends := range endpoints() {
+		data, err := wrapper.Encode(ends[0], ends[1], []byte("payload"))
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+		f.Add(data[:len(data)/2])
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		d, err := wrapper.Decode(data)
+		if err == nil && len(d.Payload) > len(data) {
+			t.Fatal("the payload is longer than the packet")
+		}
+	})
+}
