Hear a balancer that restarts with an earlier clock

Cause: a restart within the same second, or under a clock that was set back, has no higher incarnation; its heartbeats looked old and were ignored for a minute. Ruled out: a stored counter; the VMs keep nothing. Before: TestRestartWithAnEarlier... fails (never permitted within 3 s); after: it passes for an earlier and an equal clock: the balancer sees its own later line in an echo and takes an incarnation above it. Conclusion: clocks need not agree or advance.

--- a/detector/detector.go
+++ b/detector/detector.go
@@ -251,7 +251,13 @@
 // echo finds when the echoed heartbeat was sent: whoever heard it will not
 // remove this balancer before RemoveAge from then on.
 func (d *Detector) echo(e Entry) {
-	if e.Incarnation != d.self.Incarnation {
+	if newer(e, d.self) {
+		// An earlier start is still remembered, from a clock that was ahead or in
+		// the same second: the others would ignore this one.
+		d.self.Incarnation = e.Incarnation + 1
+		return
+	}
+	if e.Incarnation < d.self.Incarnation {
 		return
 	}
 	for _, b := range d.beats {
--- a/detector/detector_test.go
+++ b/detector/detector_test.go
@@ -129,6 +129,20 @@
 	is.Equal(f.members[1].Members(f.now)[0].State(), detector.Joining)
 }
 
+func TestRestartWithAnEarlierOrEqualClockIsHeard(t *testing.T) {
+	for _, incarnation := range []uint32{0, 1} {
+		is := is.New(t)
+		f := newFleet(3)
+		f.run(5 * time.Second)
+		restarted := detector.New(1, incarnation)
+		restarted.SetContacts([]tracker.MemberID{1, 2, 3})
+		f.members[0] = restarted
+		f.run(3 * time.Second)
+		is.True(restarted.Permitted(f.now))
+		is.Equal(f.members[1].Members(f.now)[0].State(), detector.Joining)
+	}
+}
+
 func TestAloneIsPermittedAfterListening(t *testing.T) {
 	is := is.New(t)
 	d := detector.New(1, 1)
