Let a joining balancer wait for what the others prepared

Cause: read through: activation waits for no joining balancer without a revision, so a revision that the donors prepare after their answer could be active before the newcomer holds it, and the newcomer, then ready, would decide its buckets by table. One that rejoins with a revision blocked the activation instead. Ruled out: waiting for joining balancers; one whose donors never answer would hold up every change. Before: TestJoiningBalancerWaitsForWhatOthersPrepared fails with the check switched off (ready after the first answer); after: it passes. Conclusion: a newcomer is ready only with the latest revision any live balancer has prepared, and nobody waits for it before that.

--- a/activator/activator.go
+++ b/activator/activator.go
@@ -31,8 +31,9 @@
 }
 
 // Allows reports whether the prepared revision may be put in force now. The
-// members are the live balancers besides this one; those that are joining and
-// have no revision yet follow the others and are not waited for.
+// members are the live balancers besides this one. Those that are joining are not
+// waited for: they decide nothing, and become ready only with what the others
+// have prepared.
 func (a *Activator) Allows(now time.Time, revision uint64, members []detector.Member) bool {
 	if a.revision != revision {
 		a.revision = revision
@@ -52,7 +53,7 @@
 // hasPrepared wants the very revision: a balancer that skipped it may hold a
 // bucket for unchanged that it changes.
 func hasPrepared(m detector.Member, revision uint64) bool {
-	if m.State() == detector.Joining && m.Prepared() == 0 && m.Active() == 0 {
+	if m.State() == detector.Joining {
 		return true
 	}
 	return m.Prepared() == revision || m.Active() == revision
--- a/coordinator/joiner.go
+++ b/coordinator/joiner.go
@@ -80,9 +80,25 @@
 	c.offered = newer(c.offered, latest)
 	c.tracker.Adopt(now, planner.New(active.Revision, active.Document), snapshots)
 	c.prepareOffered(now)
+	if c.behind(now) {
+		// The others wait for no joining balancer before they activate: this one
+		// must hold what they have prepared since they answered.
+		c.Count("join-retried", 1)
+		return
+	}
 	c.becomeReady(now, len(r.replies))
 }
 
+// behind reports whether a live balancer has prepared a later revision.
+func (c *Coordinator) behind(now time.Time) bool {
+	for _, m := range c.detector.Members(now) {
+		if m.Prepared() > c.Revision() {
+			return true
+		}
+	}
+	return false
+}
+
 func (c *Coordinator) decode(encoded []byte) *Record {
 	if len(encoded) == 0 {
 		return nil
--- /dev/null
+++ b/coordinator/joiner_test.go
@@ -0,0 +1,116 @@
+package coordinator_test
+
+import (
+	"net/netip"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"trefoilspring.example/trefoilspring/coordinator"
+	"trefoilspring.example/trefoilspring/detector"
+	"trefoilspring.example/trefoilspring/operator"
+	"trefoilspring.example/trefoilspring/tracker"
+)
+
+const (
+	self  tracker.MemberID = 1
+	donor tracker.MemberID = 2
+)
+
+func documentOf() *operator.Document {
+	return &operator.Document{
+		AvailabilityZones: map[string]operator.AvailabilityZone{"ne-a": {State: operator.ZoneIn}},
+		Services: map[string]operator.Service{"booking-desk": {
+			Addresses: []netip.AddrPort{netip.MustParseAddrPort("198.51.100.10:443")},
+			Protocol:  operator.ProtocolQUIC,
+		}},
+		Targets: map[string]operator.Target{"bd-01": {
+			Service:          "booking-desk",
+			AvailabilityZone: "ne-a",
+			Address:          netip.MustParseAddrPort("127.0.0.1:7001"),
+		}},
+	}
+}
+
+// decode reads a record that is just the number of its revision.
+func decode(encoded []byte) (coordinator.Record, error) {
+	revision, err := strconv.ParseUint(string(encoded), 10, 64)
+	if err != nil {
+		return coordinator.Record{}, errors.Wrap(err, "reading a revision")
+	}
+	return coordinator.Record{Revision: revision, Document: documentOf(), Encoded: encoded}, nil
+}
+
+// joining drives a coordinator that joins a donor with the given revisions.
+type joining struct {
+	now      time.Time
+	c        *coordinator.Coordinator
+	sequence uint32
+	prepared uint64
+}
+
+func newJoining() *joining {
+	c := coordinator.New(coordinator.Config{Self: self, Incarnation: 1, GroupSize: 2})
+	c.Decode = decode
+	c.SetContacts([]tracker.MemberID{donor})
+	return &joining{now: time.Unix(1000, 0), c: c, prepared: 1}
+}
+
+// step runs one interval and answers the coordinator's requests.
+func (j *joining) step(answer func(coordinator.Request) (coordinator.Reply, bool)) {
+	j.now = j.now.Add(detector.Interval)
+	actions := j.c.Tick(j.now)
+	for _, a := range actions {
+		switch a.Kind() {
+		case coordinator.SendHeartbeat:
+			j.sequence++
+			entry := detector.Entry{ID: donor, Incarnation: 1, Sequence: j.sequence, State: detector.Ready, Active: 1, Prepared: j.prepared}
+			j.c.Heartbeat(j.now, detector.Message{From: donor, Entries: append([]detector.Entry{entry}, a.Heartbeat().Entries...)})
+		case coordinator.SendRequest:
+			reply, ok := answer(a.Ask().Request())
+			j.c.Replied(j.now, a.Ask(), reply, ok)
+		case coordinator.SendRecords:
+		}
+	}
+}
+
+func TestJoiningBalancerWaitsForWhatOthersPrepared(t *testing.T) {
+	is := is.New(t)
+	j := newJoining()
+	// The donor prepares revision 2 right after it handed over revision 1.
+	stale := func(r coordinator.Request) (coordinator.Reply, bool) {
+		j.prepared = 2
+		j.sequence++
+		entry := detector.Entry{ID: donor, Incarnation: 1, Sequence: j.sequence, State: detector.Ready, Active: 1, Prepared: 2}
+		j.c.Heartbeat(j.now, detector.Message{From: donor, Entries: []detector.Entry{entry}})
+		if r.Join {
+			return coordinator.Reply{State: detector.Ready, Active: []byte("1"), Snapshot: &tracker.Snapshot{}}, true
+		}
+		return coordinator.Reply{}, false
+	}
+	for range 10 {
+		j.step(stale)
+	}
+	is.Equal(j.c.State(), detector.Joining)
+	fresh := func(coordinator.Request) (coordinator.Reply, bool) {
+		return coordinator.Reply{State: detector.Ready, Active: []byte("1"), Prepared: []byte("2"), Snapshot: &tracker.Snapshot{}}, true
+	}
+	for range 3 {
+		j.step(fresh)
+	}
+	is.Equal(j.c.State(), detector.Ready)
+	is.Equal(j.c.Revision(), uint64(2))
+}
+
+func TestJoiningBalancerNeedsTheDonorsAnswer(t *testing.T) {
+	is := is.New(t)
+	j := newJoining()
+	j.c.Offer(j.now, coordinator.Record{Revision: 1, Document: documentOf()})
+	for range 20 {
+		j.step(func(coordinator.Request) (coordinator.Reply, bool) { return coordinator.Reply{}, false })
+	}
+	is.Equal(j.c.State(), detector.Joining)
+}
