--- a/detector/detector.go
+++ b/detector/detector.go
@@ -44,7 +44,7 @@
 	// tables is how many of the receivers of a heartbeat get the whole table.
 	tables = 2
 	// maxEntries bounds the lines of a message, so that it fits one datagram.
-	maxEntries = 40
+	maxEntries = 38
 )
 
 // State is what a balancer says of itself.
@@ -66,6 +66,8 @@
 	State       State
 	Active      uint64
 	Prepared    uint64
+	// Digest tells whether balancers hold the same members and notes.
+	Digest uint32
 }
 
 // Message is the table that balancers send each other.
@@ -73,6 +75,7 @@
 	_       struct{} `cbor:",toarray"`
 	From    tracker.MemberID
 	Entries []Entry
+	Notes   []Note
 }
 
 // Delivery is a message and the member it is for.
@@ -133,6 +136,7 @@
 	beats    []beat
 	echoed   time.Time
 	since    time.Time
+	notes    []Note
 }
 
 // New returns a Detector. The incarnation must grow with each start of the same
@@ -203,7 +207,7 @@
 }
 
 func (d *Detector) short(to tracker.MemberID) Message {
-	m := Message{From: d.self.ID, Entries: []Entry{d.self}}
+	m := Message{From: d.self.ID, Entries: []Entry{d.self}, Notes: d.notesFor(to)}
 	if p := d.peers[to]; p != nil {
 		m.Entries = append(m.Entries, p.entry)
 	}
