Hold openings back from down and cold targets once all balancers agree

Cause: a target that dies or turns cold without a revision was not noticed. Notes {target, start time, version, condition} spread in heartbeats to those that report another digest; a note makes the target's buckets tracked, and openings are diverted only while all live balancers report the same digest, for at least activator.PrepareTime; before that they are dropped and counted as awaiting-agreement. Established flows stay with their target. The shares of the limiter follow the same agreement.

--- a/coordinator/action.go
+++ b/coordinator/action.go
@@ -69,6 +69,8 @@
 	Active   []byte            `cbor:"active,omitempty"`
 	Prepared []byte            `cbor:"prepared,omitempty"`
 	Snapshot *tracker.Snapshot `cbor:"snapshot,omitempty"`
+	// Notes are the notes of targets that a joining balancer must hold.
+	Notes []detector.Note `cbor:"notes,omitempty"`
 	// Settled holds one answer for each settlement.
 	Settled []bool `cbor:"settled,omitempty"`
 }
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -4,7 +4,7 @@
 //
 // # Usage
 //
-//	c := coordinator.New(coordinator.Config{Self: id, Incarnation: 1, GroupSize: 13})
+//	c := coordinator.New(coordinator.Config{Self: id, Incarnation: 1})
 //	c.SetContacts(ids)
 //	for _, a := range c.Tick(now) { // every detector.Interval
 //		perform(a)
@@ -29,6 +29,7 @@
 	"time"
 
 	"trefoilspring.example/trefoilspring/activator"
+	"trefoilspring.example/trefoilspring/assessor"
 	"trefoilspring.example/trefoilspring/detector"
 	"trefoilspring.example/trefoilspring/limiter"
 	"trefoilspring.example/trefoilspring/operator"
@@ -50,9 +51,6 @@
 	Self tracker.MemberID
 	// Incarnation grows with each start of the same balancer.
 	Incarnation uint32
-	// GroupSize is the number of balancers over which limits are split, at least
-	// as many as can be alive at once.
-	GroupSize int
 }
 
 // Coordinator is the state of one balancer.
@@ -69,6 +67,9 @@
 	tracker   *tracker.Tracker
 	detector  *detector.Detector
 	limiter   *limiter.Limiter
+	assessor  *assessor.Assessor
+	notes     map[planner.TargetID]heldNote
+	agreement agreement
 	activator activator.Activator
 	active    *Record
 	prepared  *Record
@@ -92,7 +93,9 @@
 		self:     config.Self,
 		tracker:  tracker.New(config.Self),
 		detector: detector.New(config.Self, config.Incarnation),
-		limiter:  limiter.New(config.GroupSize),
+		limiter:  limiter.New(config.Self),
+		assessor: assessor.New(),
+		notes:    make(map[planner.TargetID]heldNote),
 	}
 	c.tracker.SetAdmit(c.admit)
 	c.tracker.SetStale(true)
@@ -152,6 +155,8 @@
 // Heartbeat takes a message of another balancer.
 func (c *Coordinator) Heartbeat(now time.Time, m detector.Message) {
 	c.detector.Receive(now, m)
+	c.agree(now)
+	c.takeNotes(now, m.Notes)
 	c.updateMembers(now)
 	c.collectCopies()
 }
@@ -169,13 +174,19 @@
 	}
 }
 
-// admit limits the open flows of a target that has just started.
-func (c *Coordinator) admit(now time.Time, target planner.TargetID, open int) bool {
+// admit limits the flows of a target that has just started.
+func (c *Coordinator) admit(now time.Time, target planner.TargetID, _ int) bool {
 	since, fresh := c.tracker.FreshSince(target)
 	if !fresh {
 		return true
 	}
+	if n := c.notes[target]; n.applies() && !c.tracker.Held(target) {
+		return true // So many targets are cold that none of them is held back.
+	}
+	if c.tracker.Stale() {
+		return false
+	}
 	active := c.tracker.Active()
 	service := active.ServiceByID(active.Target(target).Service())
-	return c.limiter.Admits(service.ColdStart(), now.Sub(since), open)
+	return c.limiter.Take(now, target, service.ColdStart(), now.Sub(since))
 }
--- a/coordinator/documents.go
+++ b/coordinator/documents.go
@@ -19,6 +19,14 @@
 	return latest
 }
 
+// latestPlan returns the plan that a newer one would follow, or nil.
+func (c *Coordinator) latestPlan() *planner.Plan {
+	if p := c.tracker.Prepared(); p != nil {
+		return p
+	}
+	return c.tracker.Active()
+}
+
 // Offer takes an accepted document, from the platform or a peer. One that is not
 // newer than the latest known changes nothing.
 func (c *Coordinator) Offer(now time.Time, record Record) {
@@ -38,7 +46,9 @@
 	if record == nil || record.Revision <= c.Revision() {
 		return
 	}
-	c.tracker.Prepare(now, planner.New(record.Revision, record.Document))
+	plan := planner.New(record.Revision, record.Document)
+	c.startLimits(now, c.latestPlan(), plan)
+	c.tracker.Prepare(now, plan)
 	if c.tracker.Prepared() == nil {
 		c.active = record
 	} else {
--- a/coordinator/joiner.go
+++ b/coordinator/joiner.go
@@ -71,6 +71,7 @@
 		if reply.Snapshot != nil {
 			snapshots = append(snapshots, *reply.Snapshot)
 		}
+		c.takeNotes(now, reply.Notes)
 	}
 	if active == nil {
 		return
@@ -80,6 +81,7 @@
 	c.offered = newer(c.offered, latest)
 	c.tracker.Adopt(now, planner.New(active.Revision, active.Document), snapshots)
 	c.prepareOffered(now)
+	c.enforceNotes(now)
 	if c.behind(now) {
 		// The others wait for no joining balancer before they activate: this one
 		// must hold what they have prepared since they answered.
@@ -138,6 +140,7 @@
 		c.updateMembers(now)
 		snapshot := c.tracker.Snapshot(now)
 		reply.Snapshot = &snapshot
+		reply.Notes = c.spread(now)
 		c.Note("handed state to a joining balancer", "records", c.tracker.Records())
 	}
 	for _, settlement := range r.Settlements {
--- a/coordinator/joiner_test.go
+++ b/coordinator/joiner_test.go
@@ -53,7 +53,7 @@
 }
 
 func newJoining() *joining {
-	c := coordinator.New(coordinator.Config{Self: self, Incarnation: 1, GroupSize: 2})
+	c := coordinator.New(coordinator.Config{Self: self, Incarnation: 1})
 	c.Decode = decode
 	c.SetContacts([]tracker.MemberID{donor})
 	return &joining{now: time.Unix(1000, 0), c: c, prepared: 1}
--- a/coordinator/ticker.go
+++ b/coordinator/ticker.go
@@ -51,6 +51,7 @@
 
 // updateMembers gives the tracker the live balancers, if they changed.
 func (c *Coordinator) updateMembers(now time.Time) {
+	c.agree(now)
 	members := []tracker.Member{{
 		ID:       c.self,
 		Resolves: c.detector.State() == detector.Ready,
@@ -103,6 +104,7 @@
 	}
 	c.expiredAt = now
 	c.tracker.Expire(now)
+	c.endNotes(now)
 	c.endRamps(now)
 }
 
@@ -120,6 +122,7 @@
 		service := active.ServiceByID(target.Service())
 		if service == nil || c.limiter.Ended(service.ColdStart(), now.Sub(since)) {
 			c.tracker.EndFresh(id)
+			c.limiter.Stop(id)
 		}
 	}
 }
--- a/detector/notes.go
+++ b/detector/notes.go
@@ -38,6 +38,8 @@
 	// Version counts the notes of a target up.
 	Version   uint32
 	Condition Condition
+	// AgeMilliseconds is how long ago the note was made, when it was sent.
+	AgeMilliseconds uint32
 }
 
 // Newer reports whether n replaces the other note of the same target. The order
--- a/server/server.go
+++ b/server/server.go
@@ -66,7 +66,6 @@
 		coordinator: coordinator.New(coordinator.Config{
 			Self:        tracker.NewMemberID(settings.Name),
 			Incarnation: uint32(time.Now().Unix()),
-			GroupSize:   len(settings.Peers) + 1,
 		}),
 	}
 	s.counters = forwarder.NewCounters(s.vars)
--- a/tracker/decision.go
+++ b/tracker/decision.go
@@ -23,6 +23,7 @@
 	NoTarget
 	TargetGone
 	OverLimit
+	AwaitingAgreement
 	reasonCount
 )
 
@@ -32,13 +33,14 @@
 	"no-target",
 	"target-gone",
 	"over-limit",
+	"awaiting-agreement",
 }
 
 func (r Reason) String() string { return reasonNames[r] }
 
 // Reasons lists all reasons but NoReason.
 func Reasons() []Reason {
-	return []Reason{UnknownService, NoTarget, TargetGone, OverLimit}
+	return []Reason{UnknownService, NoTarget, TargetGone, OverLimit, AwaitingAgreement}
 }
 
 // Decision is what to do with one packet.
--- a/tracker/settler.go
+++ b/tracker/settler.go
@@ -45,7 +45,7 @@
 	if !b.tracked {
 		return true
 	}
-	if b.changed != m.Changed || t.changes(s, int(m.Bucket)) {
+	if b.changed != m.Changed || t.isNoted(b) || t.changes(s, int(m.Bucket)) {
 		return false
 	}
 	if m.Phase == Rebase {
@@ -128,7 +128,7 @@
 
 func (t *Tracker) quiet(now time.Time, s *service, index int) bool {
 	b := &s.buckets[index]
-	if t.changes(s, index) {
+	if t.isNoted(b) || t.changes(s, index) {
 		return false
 	}
 	if _, fresh := t.fresh[b.current]; fresh {
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -66,6 +66,8 @@
 	open     map[planner.TargetID]int
 	fresh    map[planner.TargetID]time.Time
 	copies   map[MemberID]*Copy
+	noted    map[planner.TargetID]Hold
+	agreed   bool
 	stale    bool
 }
 
@@ -193,6 +195,9 @@
 	if b.current == 0 {
 		return drop(NoTarget)
 	}
+	if t.awaits(b.current) {
+		return drop(AwaitingAgreement)
+	}
 	target := t.choose(now, s, b, q.Flow)
 	if target == 0 {
 		return drop(OverLimit)
@@ -225,6 +230,9 @@
 }
 
 func (t *Tracker) admits(now time.Time, target planner.TargetID) bool {
+	if !t.mayOpen(target) {
+		return false
+	}
 	if t.admit == nil {
 		return true
 	}
