Keep state for tracked buckets only

Cause: each service held 4,096 bucket structs on every balancer, tracked or not: at the aim 2,800 services would take 0.9 GB, against 32 MB for control. Ruled out: smaller fields (about a third is left) and fewer buckets (imbalance). Rounds of copies and settling now come in a fixed order.

--- a/tracker/member.go
+++ b/tracker/member.go
@@ -111,7 +111,7 @@
 	before := t.ranks
 	t.ranks = newRanks(members)
 	for id, s := range t.services {
-		if s.tracked > 0 {
+		if len(s.tracked) > 0 {
 			t.copyToNewKeepers(id, s, &before)
 		}
 	}
--- a/tracker/notes.go
+++ b/tracker/notes.go
@@ -23,30 +23,17 @@
 // Established flows stay with the target.
 func (t *Tracker) Track(now time.Time, target planner.TargetID) {
 	for _, s := range t.services {
-		for i := range s.buckets {
-			b := &s.buckets[i]
-			if b.current == target {
-				s.trackForNote(now, b)
+		for i := range planner.Buckets {
+			if s.current(i) != target {
+				continue
 			}
+			// A bucket that was plain keeps no revision of its last change:
+			// balancers that joined since don't know it, and settling compares it.
+			s.trackBucket(now, i).rebased = false
 		}
 	}
 }
 
-// trackForNote leaves the revision of the last change unset where the bucket was
-// plain: balancers that joined since don't know it, and settling compares it.
-func (s *service) trackForNote(now time.Time, b *bucket) {
-	b.rebased = false
-	if b.tracked {
-		return
-	}
-	b.tracked = true
-	b.base = b.current
-	b.changed = 0
-	b.since = now
-	b.lastBase = now
-	s.tracked++
-}
-
 // SetNoted sets the noted targets, whose buckets must have been tracked here, and
 // whether every live balancer has agreed on them. Until then openings that are
 // held back are dropped. The map must not be changed afterwards.
@@ -55,10 +42,10 @@
 	t.agreed = agreed
 }
 
-// isNoted reports whether a bucket's target is noted, which keeps the bucket from
+// isNoted reports whether a bucket's current target is noted, which keeps the bucket from
 // settling.
-func (t *Tracker) isNoted(b *bucket) bool {
-	_, noted := t.noted[b.current]
+func (t *Tracker) isNoted(current planner.TargetID) bool {
+	_, noted := t.noted[current]
 	return noted
 }
 
--- a/tracker/records.go
+++ b/tracker/records.go
@@ -1,6 +1,8 @@
 package tracker
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"trefoilspring.example/trefoilspring/planner"
@@ -36,6 +38,7 @@
 		all = append(all, c)
 	}
 	clear(t.copies)
+	slices.SortFunc(all, func(a, b *Copy) int { return cmp.Compare(a.member, b.member) })
 	return all
 }
 
--- a/tracker/revision.go
+++ b/tracker/revision.go
@@ -36,37 +36,40 @@
 }
 
 func newService(now time.Time, plan *planner.Service) *service {
-	s := &service{plan: plan, records: make(map[uint64]record), empty: now}
+	s := &service{
+		plan:    plan,
+		tracked: make(map[int]*bucket),
+		records: make(map[uint64]record),
+		empty:   now,
+	}
 	if len(plan.Active()) == 0 {
 		// No flow of a new service was ever forwarded.
 		s.empty = now.Add(-refusalDelay)
 	}
-	for i := range s.buckets {
-		s.buckets[i].current = plan.Lookup(i)
-		s.buckets[i].base = plan.Lookup(i)
-	}
 	return s
 }
 
 func (t *Tracker) track(now time.Time, s *service, plan *planner.Service, revision uint64) {
-	for i := range s.buckets {
-		b := &s.buckets[i]
-		if plan.Lookup(i) == b.current {
+	for i := range planner.Buckets {
+		if plan.Lookup(i) == s.current(i) {
 			continue
 		}
+		b := s.trackBucket(now, i)
 		b.changed = revision
 		b.rebased = false
-		if b.tracked {
-			continue
-		}
-		b.tracked = true
-		b.base = b.current
-		b.since = now
-		b.lastBase = now
-		s.tracked++
 	}
 }
 
+// trackBucket returns the state of a bucket, which becomes tracked if it is plain.
+func (s *service) trackBucket(now time.Time, index int) *bucket {
+	b := s.tracked[index]
+	if b == nil {
+		b = &bucket{base: s.current(index), since: now, lastBase: now}
+		s.tracked[index] = b
+	}
+	return b
+}
+
 // Activate puts the prepared plan in force: openings go to its targets.
 func (t *Tracker) Activate(now time.Time) {
 	if t.prepared == nil {
@@ -91,9 +94,6 @@
 		s.empty = now
 	}
 	s.plan = plan
-	for i := range s.buckets {
-		s.buckets[i].current = plan.Lookup(i)
-	}
 	for flow, r := range s.records {
 		if !t.mayReceive(plan.ID(), r.target) {
 			t.forget(s, flow, r)
--- a/tracker/settler.go
+++ b/tracker/settler.go
@@ -1,6 +1,8 @@
 package tracker
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"trefoilspring.example/trefoilspring/planner"
@@ -30,7 +32,7 @@
 func (t *Tracker) Tracked() int {
 	n := 0
 	for _, s := range t.services {
-		n += s.tracked
+		n += len(s.tracked)
 	}
 	return n
 }
@@ -41,26 +43,25 @@
 	if s == nil || int(m.Bucket) >= planner.Buckets {
 		return true
 	}
-	b := &s.buckets[m.Bucket]
-	if !b.tracked {
+	index := int(m.Bucket)
+	b := s.tracked[index]
+	if b == nil {
 		return true
 	}
-	if b.changed != m.Changed || t.isNoted(b) || t.changes(s, int(m.Bucket)) {
+	if b.changed != m.Changed || t.isNoted(s.current(index)) || t.changes(s, index) {
 		return false
 	}
 	if m.Phase == Rebase {
-		b.base = b.current
+		b.base = s.current(index)
 		b.rebased = true
 		b.since = now
 		return true
 	}
-	if !b.rebased {
-		return false
+	if b.rebased {
+		delete(s.tracked, index)
+		return true
 	}
-	b.tracked = false
-	b.rebased = false
-	s.tracked--
-	return true
+	return false
 }
 
 // changes reports whether the prepared plan gives the bucket another target.
@@ -69,7 +70,7 @@
 		return false
 	}
 	plan := t.prepared.ServiceByID(s.plan.ID())
-	return plan != nil && plan.Lookup(index) != s.buckets[index].current
+	return plan != nil && plan.Lookup(index) != s.current(index)
 }
 
 // copyAge is how many idle timeouts a copy is kept that is not renewed.
@@ -95,7 +96,7 @@
 		limit = idle * copyAge
 	}
 	switch {
-	case !s.buckets[index].tracked || seconds(now)-r.seen > limit:
+	case s.tracked[index] == nil || seconds(now)-r.seen > limit:
 		t.forget(s, flow, r)
 	case resolves && seconds(now)-r.copied > idle:
 		r.copied = seconds(now)
@@ -109,32 +110,34 @@
 func (t *Tracker) Quiet(now time.Time) []Settlement {
 	var quiet []Settlement
 	for id, s := range t.services {
-		if s.tracked == 0 {
+		if len(s.tracked) == 0 {
 			continue
 		}
 		busy := s.busyBuckets()
-		for i := range s.buckets {
-			b := &s.buckets[i]
-			if !b.tracked || busy[i] || t.ranks.resolver(slotOf(id, i)) != t.self {
+		for i, b := range s.tracked {
+			if busy[i] || t.ranks.resolver(slotOf(id, i)) != t.self {
 				continue
 			}
-			if t.quiet(now, s, i) {
+			if t.quiet(now, s, b, i) {
 				quiet = append(quiet, Settlement{Phase: Rebase, Service: id, Bucket: uint16(i), Changed: b.changed})
 			}
 		}
 	}
+	slices.SortFunc(quiet, func(a, b Settlement) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Bucket, b.Bucket))
+	})
 	return quiet
 }
 
-func (t *Tracker) quiet(now time.Time, s *service, index int) bool {
-	b := &s.buckets[index]
-	if t.isNoted(b) || t.changes(s, index) {
+func (t *Tracker) quiet(now time.Time, s *service, b *bucket, index int) bool {
+	current := s.current(index)
+	if t.isNoted(current) || t.changes(s, index) {
 		return false
 	}
-	if _, fresh := t.fresh[b.current]; fresh {
+	if _, fresh := t.fresh[current]; fresh {
 		return false
 	}
-	if b.base == b.current || !t.mayReceive(s.plan.ID(), b.base) {
+	if b.base == current || !t.mayReceive(s.plan.ID(), b.base) {
 		return now.Sub(b.since) > settleDelay
 	}
 	idle := s.plan.IdleTimeout()
@@ -150,7 +153,7 @@
 	var busy [planner.Buckets]bool
 	for flow, r := range s.records {
 		index := planner.BucketOf(flow)
-		if r.target != s.buckets[index].current {
+		if r.target != s.current(index) {
 			busy[index] = true
 		}
 	}
--- a/tracker/snapshot.go
+++ b/tracker/snapshot.go
@@ -48,7 +48,7 @@
 func (t *Tracker) Snapshot(now time.Time) Snapshot {
 	var snap Snapshot
 	for id, s := range t.services {
-		if s.tracked > 0 {
+		if len(s.tracked) > 0 {
 			snap.Services = append(snap.Services, s.state(id))
 		}
 	}
@@ -61,16 +61,13 @@
 
 func (s *service) state(id planner.ServiceID) ServiceState {
 	state := ServiceState{Service: id}
-	for i := range s.buckets {
-		b := &s.buckets[i]
-		if b.tracked {
-			state.Buckets = append(state.Buckets, BucketState{
-				Bucket:  uint16(i),
-				Base:    b.base,
-				Changed: b.changed,
-				Rebased: b.rebased,
-			})
-		}
+	for i, b := range s.tracked {
+		state.Buckets = append(state.Buckets, BucketState{
+			Bucket:  uint16(i),
+			Base:    b.base,
+			Changed: b.changed,
+			Rebased: b.rebased,
+		})
 	}
 	for flow, r := range s.records {
 		state.Records = append(state.Records, FlowState{Flow: flow, Target: r.target})
@@ -103,11 +100,7 @@
 		if int(state.Bucket) >= planner.Buckets {
 			continue
 		}
-		b := &s.buckets[state.Bucket]
-		if !b.tracked {
-			b.tracked = true
-			s.tracked++
-		}
+		b := s.trackBucket(now, int(state.Bucket))
 		if state.Changed < b.changed {
 			continue
 		}
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -73,19 +73,17 @@
 
 type service struct {
 	plan    *planner.Service
-	buckets [planner.Buckets]bucket
+	tracked map[int]*bucket
 	records map[uint64]record
-	tracked int
 	empty   time.Time
 }
 
+// bucket is a tracked one; a plain bucket needs no state.
 type bucket struct {
 	base     planner.TargetID
-	current  planner.TargetID
 	changed  uint64
 	since    time.Time
 	lastBase time.Time
-	tracked  bool
 	rebased  bool
 }
 
@@ -128,13 +126,13 @@
 		return drop(UnknownService)
 	}
 	index := planner.BucketOf(q.Flow)
-	b := &s.buckets[index]
+	b := s.tracked[index]
 	resolver := t.ranks.resolver(slotOf(q.Service, index))
 	if t.handsOn(b, resolver, q) {
 		return handOn(resolver, q.Hops+1)
 	}
-	if !b.tracked {
-		return t.byTable(now, s, b, q)
+	if b == nil {
+		return t.byTable(now, s, index, q)
 	}
 	return t.resolve(now, s, b, index, q)
 }
@@ -143,12 +141,12 @@
 	if resolver == t.self || resolver == 0 || q.Hops >= MaxHops {
 		return false
 	}
-	return b.tracked || t.stale
+	return b != nil || t.stale
 }
 
-func (t *Tracker) byTable(now time.Time, s *service, b *bucket, q Query) Decision {
-	if b.current != 0 {
-		return t.forward(q.Service, b.current)
+func (t *Tracker) byTable(now time.Time, s *service, index int, q Query) Decision {
+	if current := s.current(index); current != 0 {
+		return t.forward(q.Service, current)
 	}
 	opening := q.Mark == parser.MarkOpening
 	if opening && !t.stale && now.Sub(s.empty) >= refusalDelay {
@@ -192,13 +190,17 @@
 }
 
 func (t *Tracker) place(now time.Time, s *service, b *bucket, index int, q Query) Decision {
-	if b.current == 0 {
+	current := s.current(index)
+	if current == 0 {
 		return drop(NoTarget)
 	}
-	if t.awaits(b.current) {
+	if t.awaits(current) {
 		return drop(AwaitingAgreement)
 	}
-	target := t.choose(now, s, b, q.Flow)
+	target := current
+	if !b.rebased {
+		target = t.choose(now, s, current, q.Flow)
+	}
 	if target == 0 {
 		return drop(OverLimit)
 	}
@@ -211,9 +213,9 @@
 
 // choose returns the current target of the bucket, or another one that takes
 // flows where the current one is at its limit.
-func (t *Tracker) choose(now time.Time, s *service, b *bucket, flow uint64) planner.TargetID {
-	if b.rebased || t.admits(now, b.current) {
-		return b.current
+func (t *Tracker) choose(now time.Time, s *service, current planner.TargetID, flow uint64) planner.TargetID {
+	if t.admits(now, current) {
+		return current
 	}
 	active := s.plan.Active()
 	if len(active) == 0 {
@@ -267,6 +269,9 @@
 	return found != nil && !found.Out() && found.Service() == id
 }
 
+// current returns the target of a bucket's openings.
+func (s *service) current(index int) planner.TargetID { return s.plan.Lookup(index) }
+
 func (s *service) marksOpenings() bool {
 	return s.plan.Protocol() != operator.ProtocolUDP
 }
