Let a cold target of the stand-ins bear what operators said it bears

The operators' document allows 40 flows growing to 4,000 over 30 s, but the stand-in bore 40 flat for 3 s: the two disagreed, so a balancer that keeps the document's limit made a target collapse. Ruled out: raising the flat limit, which would no longer test the ramp.

Not shown by this: that a balancer limits flows of cold targets; no target came near the limit.

--- a/standin/responder/settings.go
+++ b/standin/responder/settings.go
@@ -24,7 +24,8 @@
 	WorkTime operator.Duration `json:"work-time,omitzero" validate:"min=0"`
 	// Cold is how long the target is cold after its start.
 	Cold operator.Duration `json:"cold" validate:"min=0"`
-	// ColdFlows is how many open flows the target bears while it is cold.
+	// ColdFlows is how many open flows the target bears when it starts; over
+	// Cold this grows linearly to 100 times as many.
 	ColdFlows int64 `json:"cold-flows" validate:"min=0"`
 	// Collapse is how long the target is silent after it got more.
 	Collapse operator.Duration `json:"collapse" validate:"min=0"`
