Give roles by leases with fenced writes

A holder acts only until its lease ends by its own clock, measured from before the renewing call was sent and less a margin of a fifth. Each write carries the fence (the lock index of the lease) and the index that the state must still have; a new holder first writes the old state with its own fence, after which the writes of earlier holders fail.

--- /dev/null
+++ b/elector/elector_test.go
@@ -0,0 +1,114 @@
+package elector_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"net/url"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
+
+	"trefoilspring.example/trefoilspring/elector"
+	"trefoilspring.example/trefoilspring/platform"
+	"trefoilspring.example/trefoilspring/standin/keeper"
+)
+
+func newStore(t *testing.T) (*platform.Store, *keeper.Server) {
+	t.Helper()
+	k := keeper.New()
+	api := httptest.NewServer(k.API())
+	t.Cleanup(func() {
+		api.CloseClientConnections()
+		api.Close()
+	})
+	return platform.New(api.URL), k
+}
+
+func TestOneHolder(t *testing.T) {
+	is := is.New(t)
+	store, _ := newStore(t)
+	first := elector.New(store, "planner", "one")
+	second := elector.New(store, "planner", "two")
+	is.NoErr(first.Campaign(t.Context()))
+	is.NoErr(second.Campaign(t.Context()))
+	is.True(first.Holds())
+	is.True(!second.Holds())
+	is.NoErr(first.Write(t.Context(), []byte("plan")))
+	var not *elector.NotHolderError
+	is.True(errors.As(second.Write(t.Context(), []byte("other")), &not))
+}
+
+// The holder is paused after it has decided to write; its lease lapses and the
+// other one takes over and writes. The late write does not take effect.
+func TestPausedHolderDoesNoHarm(t *testing.T) {
+	is := is.New(t)
+	store, k := newStore(t)
+	second := elector.New(store, "planner", "two")
+	var paused bool
+	slow := *store
+	slow.CompareAndSwap = func(ctx context.Context, key string, index uint64, value []byte) error {
+		if paused {
+			paused = false
+			is.NoErr(k.Switch(url.Values{"lapse-sessions": {"1"}}))
+			is.NoErr(second.Campaign(ctx))
+			is.NoErr(second.Write(ctx, []byte("second")))
+		}
+		return store.CompareAndSwap(ctx, key, index, value)
+	}
+	first := elector.New(&slow, "planner", "one")
+	is.NoErr(first.Campaign(t.Context()))
+	paused = true
+	err := first.Write(t.Context(), []byte("first"))
+	var fenced *elector.FencedError
+	is.True(errors.As(err, &fenced))
+	is.Equal(fenced.Fence(), uint64(1))
+	is.True(!first.Holds())
+	is.NoErr(second.Write(t.Context(), []byte("second again")))
+}
+
+// A lease that was not renewed in time is not acted on, without asking anyone.
+func TestLeaseEndsByTheClock(t *testing.T) {
+	is := is.New(t)
+	store, _ := newStore(t)
+	now := time.Now()
+	e := elector.New(store, "planner", "one")
+	e.Now = func() time.Time { return now }
+	is.NoErr(e.Campaign(t.Context()))
+	is.True(e.Holds())
+	now = now.Add(elector.DefaultTTL * 4 / 5)
+	is.True(!e.Holds())
+	var not *elector.NotHolderError
+	is.True(errors.As(e.Write(t.Context(), nil), &not))
+}
+
+func TestLostAnswerOfAWrite(t *testing.T) {
+	is := is.New(t)
+	store, k := newStore(t)
+	e := elector.New(store, "planner", "one")
+	is.NoErr(e.Campaign(t.Context()))
+	is.NoErr(k.Switch(url.Values{"lose-answers": {"1"}}))
+	is.NoErr(e.Write(t.Context(), []byte("plan")))
+	is.Equal(string(e.State()), "plan")
+}
+
+func TestRunGivesTheRoleBack(t *testing.T) {
+	is := is.New(t)
+	store, _ := newStore(t)
+	first := elector.New(store, "planner", "one")
+	ctx, cancel := context.WithCancel(t.Context())
+	var group errgroup.Group
+	group.Go(func() error { return first.Run(ctx) })
+	deadline := time.Now().Add(10 * time.Second)
+	for !first.Holds() && time.Now().Before(deadline) {
+		time.Sleep(5 * time.Millisecond)
+	}
+	is.True(first.Holds())
+	cancel()
+	is.NoErr(group.Wait())
+	second := elector.New(store, "planner", "two")
+	is.NoErr(second.Campaign(t.Context()))
+	is.True(second.Holds())
+}
