Make a plan from the one before

Ruled out: computing tables on demand in the data path, which would stall packets. A service whose table is shared is not compared bucket by bucket either. Conclusion: the cost of a change follows what changed.

--- a/coordinator/documents.go
+++ b/coordinator/documents.go
@@ -46,8 +46,9 @@
 	if record == nil || record.Revision <= c.Revision() {
 		return
 	}
-	plan := planner.New(record.Revision, record.Document)
-	c.startLimits(now, c.latestPlan(), plan)
+	before := c.latestPlan()
+	plan := before.Next(record.Revision, record.Document)
+	c.startLimits(now, before, plan)
 	c.tracker.Prepare(now, plan)
 	if c.tracker.Prepared() == nil {
 		c.active = record
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -17,7 +17,8 @@
 
 import (
 	"net/netip"
-	"sort"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -106,6 +107,13 @@
 	coldStart operator.ColdStart
 	table     []TargetID
 	active    []TargetID
+	shares    []share
+}
+
+// share is what a target's part of the table depends on.
+type share struct {
+	name   string
+	weight int
 }
 
 // ID returns the identifier of the service.
@@ -126,6 +134,12 @@
 // Lookup returns the target of a bucket, or 0 where no target takes flows.
 func (s *Service) Lookup(bucket int) TargetID { return s.table[bucket] }
 
+// SameTable reports whether the other service gives each bucket the same target.
+// It is sure only of plans made by Next from each other; false may be wrong.
+func (s *Service) SameTable(other *Service) bool {
+	return &s.table[0] == &other.table[0]
+}
+
 // Active returns the targets that take new flows, in the order of their
 // identifiers. The caller must not change it.
 func (s *Service) Active() []TargetID { return s.active }
@@ -141,17 +155,30 @@
 
 // New returns the plan of a document.
 func New(revision uint64, d *operator.Document) *Plan {
-	p := &Plan{
+	var none *Plan
+	return none.Next(revision, d)
+}
+
+// Next returns the plan of the next document. It equals New, but shares the
+// tables of services whose targets and weights are the same with p, which may be
+// nil.
+func (p *Plan) Next(revision uint64, d *operator.Document) *Plan {
+	next := &Plan{
 		revision:  revision,
 		addresses: make(map[netip.AddrPort]*Service),
 		services:  make(map[ServiceID]*Service),
 		targets:   make(map[TargetID]*Target),
 	}
-	byService := p.addTargets(d)
+	var earlier map[ServiceID]*Service
+	if p != nil {
+		earlier = p.services
+	}
+	byService := next.addTargets(d)
 	for name, service := range d.Services {
-		p.addService(name, service, byService[NewServiceID(name)])
+		id := NewServiceID(name)
+		next.addService(name, service, byService[id], earlier[id])
 	}
-	return p
+	return next
 }
 
 // Revision returns the revision of the document.
@@ -196,7 +223,7 @@
 	return byService
 }
 
-func (p *Plan) addService(name string, service operator.Service, targets []*Target) {
+func (p *Plan) addService(name string, service operator.Service, targets []*Target, earlier *Service) {
 	s := &Service{
 		id:        NewServiceID(name),
 		name:      name,
@@ -207,20 +234,28 @@
 	if s.idle == 0 {
 		s.idle = DefaultIdleTimeout
 	}
-	var active []*Target
+	s.setTargets(targets, earlier)
+	p.services[s.id] = s
+	for _, address := range service.Addresses {
+		p.addresses[address] = s
+	}
+}
+
+func (s *Service) setTargets(targets []*Target, earlier *Service) {
 	for _, t := range targets {
 		if t.TakesFlows() {
-			active = append(active, t)
+			s.shares = append(s.shares, share{name: t.name, weight: t.weight})
 		}
 	}
-	sort.Slice(active, func(i, j int) bool { return active[i].name < active[j].name })
-	s.table = fill(active)
-	for _, t := range active {
-		s.active = append(s.active, t.id)
+	slices.SortFunc(s.shares, func(a, b share) int { return strings.Compare(a.name, b.name) })
+	if earlier != nil && slices.Equal(s.shares, earlier.shares) {
+		s.table = earlier.table
+		s.active = earlier.active
+		return
 	}
-	sort.Slice(s.active, func(i, j int) bool { return s.active[i] < s.active[j] })
-	p.services[s.id] = s
-	for _, address := range service.Addresses {
-		p.addresses[address] = s
+	s.table = fill(s.shares)
+	for _, share := range s.shares {
+		s.active = append(s.active, NewTargetID(share.name))
 	}
+	slices.Sort(s.active)
 }
--- a/planner/table.go
+++ b/planner/table.go
@@ -21,7 +21,7 @@
 
 // fill gives each bucket a target. In each round every target earns its weight
 // and takes one bucket for each full share that it has earned.
-func fill(targets []*Target) []TargetID {
+func fill(targets []share) []TargetID {
 	table := make([]TargetID, Buckets)
 	if len(targets) == 0 {
 		return table
@@ -56,9 +56,9 @@
 	table[b] = p.id
 }
 
-func newPreference(t *Target) preference {
+func newPreference(t share) preference {
 	return preference{
-		id:     t.id,
+		id:     NewTargetID(t.name),
 		next:   xxhash.Sum64String("offset/" + t.name),
 		step:   xxhash.Sum64String("step/"+t.name) | 1,
 		weight: t.weight,
--- a/tracker/revision.go
+++ b/tracker/revision.go
@@ -50,6 +50,9 @@
 }
 
 func (t *Tracker) track(now time.Time, s *service, plan *planner.Service, revision uint64) {
+	if plan.SameTable(s.plan) {
+		return
+	}
 	for i := range planner.Buckets {
 		if plan.Lookup(i) == s.current(i) {
 			continue
