--- a/tracker/records.go
+++ b/tracker/records.go
@@ -28,7 +28,8 @@
 // Records returns the records.
 func (c *Copy) Records() []Record { return c.records }
 
-// Copies returns the records to send to other balancers, and forgets them.
+// Copies returns the records to send to other balancers, in the order of their
+// identifiers, and forgets them.
 func (t *Tracker) Copies() []*Copy {
 	if len(t.copies) == 0 {
 		return nil
@@ -37,8 +38,8 @@
 	for _, c := range t.copies {
 		all = append(all, c)
 	}
-	clear(t.copies)
 	slices.SortFunc(all, func(a, b *Copy) int { return cmp.Compare(a.member, b.member) })
+	clear(t.copies)
 	return all
 }
 
