--- /dev/null
+++ b/cmd_explain.go
@@ -0,0 +1,85 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/url"
+	"strings"
+
+	"github.com/urfave/cli/v3"
+
+	"trefoilspring.example/trefoilspring/server"
+)
+
+func cmdExplain() *cli.Command {
+	return &cli.Command{
+		Name:  "explain",
+		Usage: "say which target a flow would go to, and why",
+		Description: `Asks one balancer and changes nothing there. If it hands the flow on, ask the
+balancer that it names.
+
+Example:
+   trefoilspring explain --admin 127.0.0.1:9102 --service 198.51.100.10:443 --source 203.0.113.7:50123
+
+` + serveExitHelp,
+		Flags: []cli.Flag{
+			addressFlag(adminName, "ask the balancer with the admin address `ADDR`"),
+			addressFlag(serviceName, "the address `ADDR` that the caller sends to"),
+			addressFlag(sourceName, "the address `ADDR` of the caller"),
+			&cli.StringFlag{
+				Name: protocolName, Usage: "the flow's `PROTOCOL`, udp or tcp; QUIC is udp", Value: "udp",
+				Validator: oneOf("udp", "tcp"),
+			},
+			outputFlag(),
+		},
+		OnUsageError: usageError,
+		Action: func(ctx context.Context, c *cli.Command) error {
+			return withExitCode(explain(ctx, c))
+		},
+	}
+}
+
+// explained is the outcome of explain.
+type explained struct {
+	server.Explanation
+}
+
+// String says the outcome in words.
+func (e explained) String() string {
+	var b strings.Builder
+	service := e.Service
+	if service == "" {
+		service = "none"
+	}
+	fmt.Fprintf(&b, "balancer     %s, revision %d\n", e.Balancer, e.Revision)
+	fmt.Fprintf(&b, "service      %s, bucket %d\n", service, e.Bucket)
+	if e.Tracked {
+		fmt.Fprintf(&b, "tracked      base target %s, current target %s, resolver %s\n", e.Base, e.Current, e.Resolver)
+	}
+	fmt.Fprintf(&b, "opening      %s\n", outcomeText(e.Opening))
+	fmt.Fprintf(&b, "established  %s\n", outcomeText(e.Established))
+	return b.String()
+}
+
+func outcomeText(o server.Outcome) string {
+	switch {
+	case o.Target != "":
+		return fmt.Sprintf("%s to %s at %s: %s", o.Action, o.Target, o.Address, o.Why)
+	case o.Member != "":
+		return fmt.Sprintf("%s to the balancer %s: %s", o.Action, o.Member, o.Why)
+	default:
+		return fmt.Sprintf("%s (%s): %s", o.Action, o.Reason, o.Why)
+	}
+}
+
+func explain(ctx context.Context, c *cli.Command) error {
+	query := url.Values{}
+	for _, name := range []string{serviceName, sourceName, protocolName} {
+		query.Set(name, c.String(name))
+	}
+	var e explained
+	if err := fetchAdmin(ctx, c.String(adminName), "/explain?"+query.Encode(), &e.Explanation); err != nil {
+		return err
+	}
+	return output(c, e)
+}
--- a/cmd_serve.go
+++ b/cmd_serve.go
@@ -18,20 +18,23 @@
 ends. A second signal ends it at once.
 
 Example:
-   trefoilspring serve --settings balancer.json`,
-		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "settings", Usage: "the settings `FILE`", Required: true},
+   trefoilspring serve --settings balancer.json --log-level warn
+
+` + serveExitHelp,
+		Flags:        []cli.Flag{settingsFlag(), logLevelFlag()},
+		OnUsageError: usageError,
+		Action: func(ctx context.Context, c *cli.Command) error {
+			return withExitCode(serve(ctx, c))
 		},
-		Action: serve,
 	}
 }
 
 func serve(ctx context.Context, c *cli.Command) error {
-	settings, err := server.LoadSettings(c.String("settings"))
+	settings, err := server.LoadSettings(c.String(settingsName))
 	if err != nil {
 		return err
 	}
-	log := slog.New(slog.NewJSONHandler(os.Stderr, nil))
+	log := slog.New(slog.NewJSONHandler(os.Stderr, &slog.HandlerOptions{Level: logLevels[c.String(logLevelName)]}))
 	s, err := server.New(settings, log)
 	if err != nil {
 		return err
--- a/commands.go
+++ b/commands.go
@@ -20,6 +20,9 @@
 func commands() []*cli.Command {
 	return []*cli.Command{
 		cmdServe(),
+		cmdCheckSettings(),
+		cmdStatus(),
+		cmdExplain(),
 		cmdCheck(),
 		cmdDiff(),
 		cmdApply(),
@@ -30,10 +33,23 @@
 
 func root() *cli.Command {
 	return &cli.Command{
-		Name:     "trefoilspring",
-		Usage:    "a layer-4 load balancer",
-		Version:  version,
-		Commands: commands(),
+		Name:    "trefoilspring",
+		Usage:   "a layer-4 load balancer",
+		Version: version,
+		Description: `Example:
+   trefoilspring check --folder config
+   trefoilspring apply --folder config --platform http://127.0.0.1:8500
+
+Completion for a shell is printed by "trefoilspring completion SHELL", such as
+   source <(trefoilspring completion bash)
+
+Exit codes: 0 done, 1 failed, 2 usage or invalid input, 3 conflict with another
+change, 4 outcome unknown, 5 refused by the guard against large changes.`,
+		Commands:              commands(),
+		EnableShellCompletion: true,
+		ConfigureShellCompletionCommand: func(c *cli.Command) {
+			c.Hidden = false
+		},
 		// The exit code is set by main alone.
 		ExitErrHandler: func(_ context.Context, _ *cli.Command, _ error) {},
 	}
--- a/exit.go
+++ b/exit.go
@@ -6,8 +6,12 @@
 	"trefoilspring.example/trefoilspring/loader"
 	"trefoilspring.example/trefoilspring/operator"
 	"trefoilspring.example/trefoilspring/publisher"
+	"trefoilspring.example/trefoilspring/server"
 )
 
+// serveExitHelp documents the exit codes in the help of the balancer's commands.
+const serveExitHelp = `Exit codes: 0 done, 1 failed, 2 usage or invalid settings.`
+
 // exitHelp documents the exit codes in the help of the operators' commands.
 const exitHelp = `Exit codes: 0 done or nothing to do, 1 failed and not in force, 2 usage or
 invalid input, 3 conflict with another change, 4 outcome unknown, 5 refused by
@@ -58,9 +62,14 @@
 	var document *operator.DocumentError
 	var syntax *loader.SyntaxError
 	var none *publisher.NoRevisionError
+	var value *loader.ValueError
+	var settings *server.SettingsError
 	var record *publisher.RecordError
 	if errors.As(err, &record) {
 		return false
 	}
+	if errors.As(err, &value) || errors.As(err, &settings) {
+		return true
+	}
 	return errors.As(err, &file) || errors.As(err, &document) || errors.As(err, &syntax) || errors.As(err, &none)
 }
--- a/flags.go
+++ b/flags.go
@@ -4,7 +4,11 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"log/slog"
+	"net/netip"
 	"os"
+	"slices"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
@@ -21,6 +25,12 @@
 	authorName           = "author"
 	basedOnName          = "based-on"
 	allowLargeChangeName = "allow-large-change"
+	settingsName         = "settings"
+	logLevelName         = "log-level"
+	adminName            = "admin"
+	serviceName          = "service"
+	sourceName           = "source"
+	protocolName         = "protocol"
 )
 
 const (
@@ -50,18 +60,54 @@
 
 func outputFlag() cli.Flag {
 	return &cli.StringFlag{
-		Name:  outputName,
-		Usage: "print as `FORMAT`, text or json",
-		Value: outputText,
-		Validator: func(format string) error {
-			if format != outputText && format != outputJSON {
-				return errors.Newf("want text or json, not %q", format)
-			}
-			return nil
+		Name:      outputName,
+		Usage:     "print as `FORMAT`, text or json",
+		Value:     outputText,
+		Validator: oneOf(outputText, outputJSON),
+	}
+}
+
+func settingsFlag() cli.Flag {
+	return &cli.StringFlag{Name: settingsName, Usage: "read the settings from `FILE`", Required: true}
+}
+
+// logLevels are the levels that --log-level takes.
+var logLevels = map[string]slog.Level{
+	"debug": slog.LevelDebug,
+	"info":  slog.LevelInfo,
+	"warn":  slog.LevelWarn,
+	"error": slog.LevelError,
+}
+
+func logLevelFlag() cli.Flag {
+	return &cli.StringFlag{
+		Name:      logLevelName,
+		Usage:     "write log lines of `LEVEL` and above: debug, info, warn or error",
+		Value:     "info",
+		Validator: oneOf("debug", "info", "warn", "error"),
+	}
+}
+
+func addressFlag(name, usage string) cli.Flag {
+	return &cli.StringFlag{
+		Name: name, Usage: usage, Required: true,
+		Validator: func(address string) error {
+			_, err := netip.ParseAddrPort(address)
+			return err
 		},
 	}
 }
 
+// oneOf returns a validator that takes the given values.
+func oneOf(values ...string) func(string) error {
+	return func(value string) error {
+		if slices.Contains(values, value) {
+			return nil
+		}
+		return errors.Newf("want one of %s, not %q", strings.Join(values, ", "), value)
+	}
+}
+
 // usageError gives a wrong flag its exit code.
 func usageError(_ context.Context, _ *cli.Command, err error, _ bool) error {
 	return &codedError{code: exitUsage, cause: err}
--- /dev/null
+++ b/hint.go
@@ -0,0 +1,44 @@
+package main
+
+import (
+	"github.com/cockroachdb/errors"
+
+	"trefoilspring.example/trefoilspring/loader"
+	"trefoilspring.example/trefoilspring/operator"
+	"trefoilspring.example/trefoilspring/platform"
+	"trefoilspring.example/trefoilspring/publisher"
+	"trefoilspring.example/trefoilspring/server"
+)
+
+// hint says what to do next about an error; it is empty where the error says so
+// itself.
+func hint(err error) string {
+	var race *publisher.RaceError
+	var unknown *publisher.OutcomeUnknownError
+	var loss *operator.LossError
+	var none *publisher.NoRevisionError
+	var settings *server.SettingsError
+	var value *loader.ValueError
+	var unavailable *platform.UnavailableError
+	var limited *platform.RateLimitedError
+	var large *platform.ValueSizeError
+	switch {
+	case errors.As(err, &race):
+		return "nothing was changed; see the other change with `trefoilspring history`, then apply on top of it"
+	case errors.As(err, &unknown):
+		return "look for the change in `trefoilspring history` once the platform answers; applying the folder again is safe"
+	case errors.As(err, &loss):
+		return "nothing was changed; add --allow-large-change if this is meant"
+	case errors.As(err, &none):
+		return "choose a revision that `trefoilspring history` lists"
+	case errors.As(err, &settings), errors.As(err, &value):
+		return "mend the file; `trefoilspring check-settings` checks it without a start"
+	case isInvalid(err):
+		return "nothing was changed; mend the file and run again"
+	case errors.As(err, &unavailable), errors.As(err, &limited):
+		return "nothing was changed; run again once the platform answers"
+	case errors.As(err, &large):
+		return "nothing was changed; split the change into smaller ones"
+	}
+	return ""
+}
--- a/main.go
+++ b/main.go
@@ -20,6 +20,9 @@
 	context.AfterFunc(ctx, stop)
 	if err := root().Run(ctx, args); err != nil {
 		fmt.Fprintln(os.Stderr, "trefoilspring:", err)
+		if next := hint(err); next != "" {
+			fmt.Fprintln(os.Stderr, "next:", next)
+		}
 		return exitCode(err)
 	}
 	return 0
--- a/server/admin.go
+++ b/server/admin.go
@@ -48,6 +48,7 @@
 	mux.HandleFunc("GET /ready", s.serveReady)
 	mux.HandleFunc("GET /status", s.serveStatus)
 	mux.HandleFunc("GET /debug/vars", s.serveVars)
+	mux.HandleFunc("GET /explain", s.serveExplain)
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: adminTimeout}
 	var config net.ListenConfig
 	listener, err := config.Listen(ctx, "tcp", s.settings.AdminAddress.String())
--- /dev/null
+++ b/server/explain.go
@@ -0,0 +1,188 @@
+package server
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"trefoilspring.example/trefoilspring/detector"
+	"trefoilspring.example/trefoilspring/parser"
+	"trefoilspring.example/trefoilspring/planner"
+	"trefoilspring.example/trefoilspring/tracker"
+)
+
+// Explanation is what a balancer says at /explain of one flow.
+type Explanation struct {
+	Balancer string `json:"balancer"`
+	Revision uint64 `json:"active-revision"`
+	// Service is empty where no service has the address.
+	Service string `json:"service"`
+	Bucket  int    `json:"bucket"`
+	Tracked bool   `json:"tracked"`
+	// Recorded says that this balancer holds a record of the flow.
+	Recorded bool `json:"recorded"`
+	// Base and Current are targets; a bucket that isn't tracked has Current only.
+	Base     string `json:"base-target,omitempty"`
+	Current  string `json:"current-target,omitempty"`
+	Resolver string `json:"resolver,omitempty"`
+	// Opening is what happens to the first packet of the flow, Established to a
+	// later one.
+	Opening     Outcome `json:"opening"`
+	Established Outcome `json:"established"`
+}
+
+// Outcome is what a balancer would do with one packet.
+type Outcome struct {
+	Action  string         `json:"action"`
+	Target  string         `json:"target,omitempty"`
+	Address netip.AddrPort `json:"address,omitzero"`
+	// Member is the balancer that the packet is handed on to.
+	Member string `json:"member,omitempty"`
+	Reason string `json:"reason,omitempty"`
+	// Why says in words which state led there.
+	Why string `json:"why"`
+}
+
+// flowQuery is the question of /explain.
+type flowQuery struct {
+	service, source netip.AddrPort
+	tcp             bool
+}
+
+func flowQueryOf(r *http.Request) (flowQuery, error) {
+	values := r.URL.Query()
+	var q flowQuery
+	var err error
+	if q.service, err = netip.ParseAddrPort(values.Get("service")); err != nil {
+		return q, errors.Wrap(err, "reading the parameter service")
+	}
+	if q.source, err = netip.ParseAddrPort(values.Get("source")); err != nil {
+		return q, errors.Wrap(err, "reading the parameter source")
+	}
+	switch protocol := values.Get("protocol"); protocol {
+	case "tcp":
+		q.tcp = true
+	case "udp", "":
+	default:
+		return q, errors.Newf("reading the parameter protocol: want udp or tcp, not %q", protocol)
+	}
+	return q, nil
+}
+
+func (s *Server) serveExplain(w http.ResponseWriter, r *http.Request) {
+	q, err := flowQueryOf(r)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	// A caller that went away needs no answer.
+	_ = json.NewEncoder(w).Encode(s.explain(time.Now(), q))
+}
+
+// explain changes nothing.
+func (s *Server) explain(now time.Time, q flowQuery) Explanation {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	id := s.coordinator.Service(q.service)
+	query := tracker.Query{Service: id, Flow: parser.FlowOf(q.source, q.service, q.tcp)}
+	established := s.coordinator.Tracker().Explain(now, query)
+	query.Mark = parser.MarkOpening
+	opening := s.coordinator.Tracker().Explain(now, query)
+	e := Explanation{
+		Balancer:    s.settings.Name,
+		Bucket:      established.Bucket(),
+		Tracked:     established.Tracked(),
+		Recorded:    established.Recorded(),
+		Current:     s.targetName(established.Current()),
+		Resolver:    s.memberName(established.Resolver()),
+		Opening:     s.outcome(opening),
+		Established: s.outcome(established),
+	}
+	if e.Tracked {
+		e.Base = s.targetName(established.Base())
+	}
+	if p := s.coordinator.Tracker().Active(); p != nil {
+		e.Revision = p.Revision()
+		if service := p.ServiceByID(id); service != nil {
+			e.Service = service.Name()
+		}
+	}
+	return e
+}
+
+func (s *Server) outcome(e tracker.Explanation) Outcome {
+	d := e.Decision()
+	o := Outcome{Why: s.why(e)}
+	switch d.Action() {
+	case tracker.Forward:
+		o.Action = "forward"
+		o.Target = s.targetName(d.Target())
+		o.Address = s.destination(d)
+	case tracker.HandOn:
+		o.Action = "hand-on"
+		o.Member = s.memberName(d.Member())
+	case tracker.Refuse:
+		o.Action = "refuse"
+		o.Reason = d.Reason().String()
+	case tracker.Drop:
+		o.Action = "drop"
+		o.Reason = d.Reason().String()
+	}
+	return o
+}
+
+var reasonTexts = map[tracker.Reason]string{
+	tracker.UnknownService: "no service of the active revision has this address",
+	tracker.NoTarget:       "no target of the service takes flows",
+	tracker.TargetGone:     "the target was removed, or its availability zone is out",
+	tracker.OverLimit:      "each target that takes flows is at its limit",
+}
+
+// why says which state led to a decision.
+func (s *Server) why(e tracker.Explanation) string {
+	d := e.Decision()
+	switch {
+	case d.Reason() != tracker.NoReason:
+		return reasonTexts[d.Reason()]
+	case d.Action() == tracker.HandOn && s.coordinator.State() != detector.Ready:
+		return "this balancer is " + stateNames[s.coordinator.State()] + ", and another one decides"
+	case d.Action() == tracker.HandOn && e.Tracked():
+		return "the bucket is tracked, and its resolver decides"
+	case d.Action() == tracker.HandOn:
+		return "this balancer may not decide now, and another one does"
+	case !e.Tracked():
+		return "the bucket is plain, and the table names the target"
+	case e.Recorded():
+		return "the bucket is tracked, and the flow has a record"
+	case d.Target() == e.Base() && e.Base() != e.Current():
+		return "the bucket is tracked, and a flow without a record is on the base target"
+	case d.Target() == e.Current():
+		return "the bucket is tracked, and this is its current target"
+	}
+	return "the bucket's current target is at its limit, and this one takes flows"
+}
+
+func (s *Server) targetName(id planner.TargetID) string {
+	t := s.coordinator.Tracker()
+	for _, p := range [...]*planner.Plan{t.Active(), t.Prepared()} {
+		if p == nil {
+			continue
+		}
+		if target := p.Target(id); target != nil {
+			return target.Name()
+		}
+	}
+	return ""
+}
+
+func (s *Server) memberName(id tracker.MemberID) string {
+	if id == tracker.NewMemberID(s.settings.Name) {
+		return s.settings.Name
+	}
+	contact, _ := s.node.Contact(id)
+	return contact.Name
+}
--- a/server/settings.go
+++ b/server/settings.go
@@ -37,11 +37,14 @@
 // defaultReaders applies where the settings name no number of readers.
 const defaultReaders = 2
 
-// LoadSettings reads and checks a settings file.
+// LoadSettings reads and checks a settings file. Its errors are a
+// loader.SyntaxError, a loader.ValueError or a SettingsError.
 func LoadSettings(path string) (Settings, error) {
 	var s Settings
-	err := loader.Load(path, &s)
-	return s, err
+	if err := loader.Load(path, &s); err != nil {
+		return s, err
+	}
+	return s, s.Check(path)
 }
 
 func (s *Settings) contact() peer.Contact {
--- a/standin/arranger/arranger.go
+++ b/standin/arranger/arranger.go
@@ -26,7 +26,8 @@
 	platformPort  = 0
 	fabricPort    = 2
 	balancerPorts = 100
-	targetPorts   = 300
+	// minTargetPorts is where the targets' ports start unless balancers need them.
+	minTargetPorts = 300
 	// portsEach is how many ports a process may use.
 	portsEach = 4
 )
@@ -40,10 +41,16 @@
 	// Rate is the number of short requests a second of all callers.
 	Rate float64
 	Seed uint64
-	// BasePort is the first of the ports that are used, about 400.
+	// BasePort is the first of the ports that are used: about 400, and 4 more for
+	// each balancer after the 50th.
 	BasePort int
 	// Duration is how long the callers send.
 	Duration time.Duration
+	// Balancers is the number of balancers; 0 stands for 13.
+	Balancers int
+	// ExtraServices and ExtraTargets are services and targets without callers and
+	// without processes, to make the document as large as a real one.
+	ExtraServices, ExtraTargets int
 }
 
 // zones are the availability zones.
@@ -85,6 +92,10 @@
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(p.BasePort+n))
 }
 
+func (p Plan) targetPorts() int {
+	return max(minTargetPorts, balancerPorts+portsEach*p.balancerCount())
+}
+
 func (p Plan) path(folder, name string) string { return filepath.Join(p.Out, folder, name) }
 
 func (p Plan) writeJSON(folder, name string, v any) error {
@@ -143,7 +154,10 @@
 	if err := p.writeJSON("operators", "20-services.json", served); err != nil {
 		return err
 	}
-	return p.writeJSON("operators", "30-targets.json", named)
+	if err := p.writeJSON("operators", "30-targets.json", named); err != nil {
+		return err
+	}
+	return p.writeExtra()
 }
 
 // target is one target of the deployment.
@@ -157,7 +171,7 @@
 	var all []target
 	for _, s := range services() {
 		for i := range s.targets {
-			port := targetPorts + portsEach*len(all)
+			port := p.targetPorts() + portsEach*len(all)
 			all = append(all, target{
 				name: fmt.Sprintf("%s-%02d", s.prefix, i+1), zone: zones()[i%len(zones())], service: s,
 				address: p.port(port), health: p.port(port + 1),
--- a/standin/arranger/balancers.go
+++ b/standin/arranger/balancers.go
@@ -12,8 +12,15 @@
 // drainTime is how long a balancer that stops goes on forwarding.
 const drainTime = 3 * time.Second
 
-// balancerCount is the number of balancers.
-const balancerCount = 13
+// defaultBalancers applies where the plan names no number of balancers.
+const defaultBalancers = 13
+
+func (p Plan) balancerCount() int {
+	if p.Balancers == 0 {
+		return defaultBalancers
+	}
+	return p.Balancers
+}
 
 // balancer is one balancer of the deployment.
 type balancer struct {
@@ -22,8 +29,8 @@
 }
 
 func (p Plan) balancers() []balancer {
-	all := make([]balancer, 0, balancerCount)
-	for i := range balancerCount {
+	all := make([]balancer, 0, p.balancerCount())
+	for i := range p.balancerCount() {
 		zone := zones()[i%len(zones())]
 		port := balancerPorts + portsEach*i
 		all = append(all, balancer{
--- a/standin/cmd_layout.go
+++ b/standin/cmd_layout.go
@@ -18,12 +18,16 @@
 			&cli.IntFlag{Name: "streams", Usage: "long-lived streams of all callers", Value: 300},
 			&cli.FloatFlag{Name: "rate", Usage: "short requests a second of all callers", Value: 60},
 			&cli.Uint64Flag{Name: "seed", Usage: "seed of the fabric and the callers", Value: 1},
-			&cli.IntFlag{Name: "base-port", Usage: "first of about 400 ports", Value: 21000},
+			&cli.IntFlag{Name: "base-port", Usage: "first of about 400 ports, and 4 more for each balancer after the 50th", Value: 21000},
+			&cli.IntFlag{Name: "balancers", Usage: "number of balancers", Value: 13},
+			&cli.IntFlag{Name: "extra-services", Usage: "services that nobody calls"},
+			&cli.IntFlag{Name: "extra-targets", Usage: "targets that nobody calls, spread over the extra services"},
 			&cli.DurationFlag{Name: "duration", Usage: "how long the callers send", Value: 24 * time.Second},
 		},
 		Action: func(_ context.Context, cmd *cli.Command) error {
 			return arranger.Plan{
 				Out: cmd.String("out"), Streams: cmd.Int("streams"), Rate: cmd.Float("rate"),
+				Balancers: cmd.Int("balancers"), ExtraServices: cmd.Int("extra-services"), ExtraTargets: cmd.Int("extra-targets"),
 				Seed: cmd.Uint64("seed"), BasePort: cmd.Int("base-port"), Duration: cmd.Duration("duration"),
 			}.Write()
 		},
--- a/test/main_test.go
+++ b/test/main_test.go
@@ -50,6 +50,8 @@
 			"ready":  ready,
 			"switch": setSwitch,
 			"mask":   mask,
+			"expand": expand,
+			"await":  await,
 		},
 	})
 }
@@ -60,6 +62,9 @@
 	env.Setenv("PATH", binaries+string(os.PathListSeparator)+env.Getenv("PATH"))
 	env.Setenv("PLATFORM", "http://"+api)
 	env.Setenv("ADMIN", "http://"+admin)
+	env.Setenv("BALANCER_ADMIN", freeAddress())
+	env.Setenv("PEER", freeAddress())
+	env.Setenv("DATA", freeAddress())
 	return writeSettings(filepath.Join(env.WorkDir, "platform.json"), api, admin)
 }
 
@@ -108,6 +113,32 @@
 	}
 }
 
+// expand replaces the variables of the environment that a file names as ${NAME}.
+func expand(ts *testscript.TestScript, _ bool, args []string) {
+	for _, name := range args {
+		text := os.Expand(ts.ReadFile(name), ts.Getenv)
+		ts.Check(os.WriteFile(ts.MkAbs(name), []byte(text), 0o600))
+	}
+}
+
+// await waits until a URL answers with status 200.
+func await(ts *testscript.TestScript, _ bool, args []string) {
+	deadline := time.Now().Add(20 * time.Second)
+	for {
+		res, err := http.Get(args[0])
+		if err == nil {
+			ts.Check(res.Body.Close())
+			if res.StatusCode == http.StatusOK {
+				return
+			}
+		}
+		if time.Now().After(deadline) {
+			ts.Fatalf("%s does not answer 200: %v", args[0], err)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
 var (
 	changeIDs = regexp.MustCompile(`\b[A-Z2-7]{26}\b`)
 	times     = regexp.MustCompile(`\d{4}-\d\d-\d\dT\d\d:\d\d:\d\dZ`)
--- /dev/null
+++ b/tracker/explain_test.go
@@ -0,0 +1,66 @@
+package tracker_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"trefoilspring.example/trefoilspring/parser"
+	"trefoilspring.example/trefoilspring/planner"
+	"trefoilspring.example/trefoilspring/tracker"
+)
+
+// explained is the number of flows asked for; an explanation copies much state.
+const explained = 200
+
+func TestExplainSaysWhatDecideDoes(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(3, planner.New(1, documentOf(nil)))
+	g.open(1)
+	g.prepare(planner.New(2, documentOf(map[int]bool{3: true})))
+	g.open(100000)
+	g.activate()
+	tracked := 0
+	for i := range uint64(explained) {
+		flow := (1 + i%2*100000 + i) * 0x9e3779b97f4a7c15
+		for _, mark := range []parser.Mark{parser.MarkNone, parser.MarkOpening} {
+			q := tracker.Query{Service: service, Flow: flow, Mark: mark}
+			e := g.trackers[0].Explain(g.now, q)
+			is.Equal(e.Decision(), g.trackers[0].Decide(g.now, q))
+			is.Equal(e.Bucket(), planner.BucketOf(flow))
+			if e.Tracked() {
+				tracked++
+			}
+		}
+	}
+	is.True(tracked > 0)
+}
+
+func TestExplainChangesNothing(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(1, planner.New(1, documentOf(nil)))
+	g.prepare(planner.New(2, documentOf(map[int]bool{3: true})))
+	g.activate()
+	one := g.trackers[0]
+	g.now = g.now.Add(time.Second)
+	before := bucketsOf(one.Snapshot(g.now))
+	for i := range uint64(explained) {
+		one.Explain(g.now, tracker.Query{Service: service, Flow: i, Mark: parser.MarkOpening})
+		one.Explain(g.now, tracker.Query{Service: service, Flow: i})
+	}
+	is.Equal(one.Records(), 0)
+	is.Equal(len(one.Copies()), 0)
+	is.True(slices.Equal(bucketsOf(one.Snapshot(g.now)), before))
+	// Packets for the base target would have put the settling off.
+	g.now = g.now.Add(planner.DefaultIdleTimeout)
+	is.True(len(one.Quiet(g.now)) > 0)
+}
+
+// bucketsOf returns the buckets of a snapshot's only service in order.
+func bucketsOf(snap tracker.Snapshot) []tracker.BucketState {
+	buckets := slices.Clone(snap.Services[0].Buckets)
+	slices.SortFunc(buckets, func(a, b tracker.BucketState) int { return int(a.Bucket) - int(b.Bucket) })
+	return buckets
+}
