Plan only the availability zones that a group serves

Cause: with tables for all 2,800 services a daemon can't stay within 32 MB; at the aim a group is the 76 balancers of one availability zone. Ruled out: cutting the operators' document up; one atomic document stays simpler to reason about, and each daemon leaves out what it does not serve. Before: every service had a table of 16 KiB on every daemon; after: services without a target in the served zones share one empty table. TestPlanWithinAZone... passes; memory at the aim's size was not measured in this commit. Conclusion: the setting served-zones scopes a balancer; unset, it serves all.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -51,6 +51,9 @@
 	Self tracker.MemberID
 	// Incarnation grows with each start of the same balancer.
 	Incarnation uint32
+	// AvailabilityZones are those whose targets the group serves; none stands for
+	// all.
+	AvailabilityZones []string
 }
 
 // Coordinator is the state of one balancer.
@@ -64,6 +67,7 @@
 	Count func(name string, n int64)
 
 	self      tracker.MemberID
+	empty     *planner.Plan
 	tracker   *tracker.Tracker
 	detector  *detector.Detector
 	limiter   *limiter.Limiter
@@ -91,6 +95,7 @@
 		Note:     func(string, ...any) {},
 		Count:    func(string, int64) {},
 		self:     config.Self,
+		empty:    planner.Within(config.AvailabilityZones...),
 		tracker:  tracker.New(config.Self),
 		detector: detector.New(config.Self, config.Incarnation),
 		limiter:  limiter.New(config.Self),
--- a/coordinator/documents.go
+++ b/coordinator/documents.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"cmp"
 	"time"
 
 	"trefoilspring.example/trefoilspring/detector"
@@ -47,7 +48,7 @@
 		return
 	}
 	before := c.latestPlan()
-	plan := before.Next(record.Revision, record.Document)
+	plan := cmp.Or(before, c.empty).Next(record.Revision, record.Document)
 	c.startLimits(now, before, plan)
 	c.tracker.Prepare(now, plan)
 	if c.tracker.Prepared() == nil {
--- a/coordinator/joiner.go
+++ b/coordinator/joiner.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"trefoilspring.example/trefoilspring/detector"
-	"trefoilspring.example/trefoilspring/planner"
 	"trefoilspring.example/trefoilspring/tracker"
 )
 
@@ -79,7 +78,7 @@
 	c.active = active
 	c.prepared = nil
 	c.offered = newer(c.offered, latest)
-	c.tracker.Adopt(now, planner.New(active.Revision, active.Document), snapshots)
+	c.tracker.Adopt(now, c.empty.Next(active.Revision, active.Document), snapshots)
 	c.prepareOffered(now)
 	c.enforceNotes(now)
 	if c.behind(now) {
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -147,6 +147,7 @@
 // Plan is one revision of the tables. It does not change and may be read from
 // several goroutines.
 type Plan struct {
+	zones     []string
 	revision  uint64
 	addresses map[netip.AddrPort]*Service
 	services  map[ServiceID]*Service
@@ -159,6 +160,13 @@
 	return none.Next(revision, d)
 }
 
+// Within returns an empty plan of revision 0. It and the plans made from it by
+// Next leave out all targets but those in the availability zones; without any,
+// they leave out none.
+func Within(zones ...string) *Plan {
+	return &Plan{zones: zones}
+}
+
 // Next returns the plan of the next document. It equals New, but shares the
 // tables of services whose targets and weights are the same with p, which may be
 // nil.
@@ -172,6 +180,7 @@
 	var earlier map[ServiceID]*Service
 	if p != nil {
 		earlier = p.services
+		next.zones = p.zones
 	}
 	byService := next.addTargets(d)
 	for name, service := range d.Services {
@@ -203,9 +212,16 @@
 // Targets returns all targets. The caller must not change the map.
 func (p *Plan) Targets() map[TargetID]*Target { return p.targets }
 
+func (p *Plan) covers(zone string) bool {
+	return len(p.zones) == 0 || slices.Contains(p.zones, zone)
+}
+
 func (p *Plan) addTargets(d *operator.Document) map[ServiceID][]*Target {
 	byService := make(map[ServiceID][]*Target)
 	for name, target := range d.Targets {
+		if !p.covers(target.AvailabilityZone) {
+			continue
+		}
 		t := &Target{
 			id:       NewTargetID(name),
 			name:     name,
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -88,6 +88,15 @@
 	}
 }
 
+func TestPlanWithinAZoneHoldsItsTargetsOnly(t *testing.T) {
+	is := is.New(t)
+	p := planner.Within("ne-b").Next(1, documentOf(2, 14)).Next(2, documentOf(2, 14))
+	is.Equal(len(p.Targets()), 14)
+	for id := range countsOf(firstOf(t, p)) {
+		is.Equal(p.Target(id).AvailabilityZone(), "ne-b")
+	}
+}
+
 // maxMoved bounds the buckets that one leaving target of 14 may move: its own
 // 1/14 and half as many again.
 const maxMoved = planner.Buckets * 3 / 2 / 14
--- a/planner/table.go
+++ b/planner/table.go
@@ -19,13 +19,16 @@
 	return int(b)
 }
 
+// emptyTable is that of all services without a target.
+var emptyTable = make([]TargetID, Buckets)
+
 // fill gives each bucket a target. In each round every target earns its weight
 // and takes one bucket for each full share that it has earned.
 func fill(targets []share) []TargetID {
-	table := make([]TargetID, Buckets)
 	if len(targets) == 0 {
-		return table
+		return emptyTable
 	}
+	table := make([]TargetID, Buckets)
 	preferences := make([]preference, len(targets))
 	heaviest := 0
 	for i, t := range targets {
--- a/server/server.go
+++ b/server/server.go
@@ -64,8 +64,9 @@
 		node:     peer.New(settings.contact(), identity, settings.Peers),
 		watcher:  watcher.New(platform.New(settings.Platform)),
 		coordinator: coordinator.New(coordinator.Config{
-			Self:        tracker.NewMemberID(settings.Name),
-			Incarnation: uint32(time.Now().Unix()),
+			Self:              tracker.NewMemberID(settings.Name),
+			Incarnation:       uint32(time.Now().Unix()),
+			AvailabilityZones: settings.ServedZones,
 		}),
 	}
 	s.counters = forwarder.NewCounters(s.vars)
--- a/server/settings.go
+++ b/server/settings.go
@@ -24,6 +24,9 @@
 	FabricAddresses []netip.AddrPort `json:"fabric-addresses" validate:"min=1"`
 	// Platform is the URL of the platform's key-value service.
 	Platform string `json:"platform" validate:"required,url"`
+	// ServedZones are the availability zones whose targets this balancer's group
+	// serves; none stands for all.
+	ServedZones []string `json:"served-zones,omitempty" validate:"dive,required"`
 	// Peers are the other balancers of the group that are known from the start.
 	Peers []peer.Contact `json:"peers" validate:"dive"`
 	// TLS names the files of this balancer's certificate.
