--- /dev/null
+++ b/coordinator/events.go
@@ -0,0 +1,21 @@
+package coordinator
+
+import "trefoilspring.example/trefoilspring/detector"
+
+// Events returns the names that Count is called with.
+func Events() []string {
+	names := []string{
+		"buckets-settled",
+		"document-fetch-retried",
+		"documents-from-peers",
+		"join-retried",
+		"malformed-document",
+		"permission-lost",
+		"probe-failed",
+		"settling-retried",
+	}
+	for _, c := range [...]detector.Condition{detector.Serving, detector.Down, detector.Cold} {
+		names = append(names, "target-"+c.String())
+	}
+	return names
+}
--- /dev/null
+++ b/peer/events.go
@@ -0,0 +1,25 @@
+package peer
+
+// Events returns the names that Count is called with.
+func Events() []string {
+	return []string{
+		"dial-failed",
+		"forged-sender",
+		"handshake-refused",
+		"heartbeat-bytes-sent",
+		"heartbeat-not-encoded",
+		"heartbeat-not-sent",
+		"heartbeats-received",
+		"heartbeats-sent",
+		"malformed-heartbeat",
+		"malformed-request",
+		"record-bytes-sent",
+		"record-stream-ended",
+		"records-not-sent",
+		"records-received",
+		"records-sent",
+		"reply-not-encoded",
+		"reply-not-sent",
+		"request-cut-short",
+	}
+}
--- a/server/explain.go
+++ b/server/explain.go
@@ -136,10 +136,11 @@
 }
 
 var reasonTexts = map[tracker.Reason]string{
-	tracker.UnknownService: "no service of the active revision has this address",
-	tracker.NoTarget:       "no target of the service takes flows",
-	tracker.TargetGone:     "the target was removed, or its availability zone is out",
-	tracker.OverLimit:      "each target that takes flows is at its limit",
+	tracker.UnknownService:    "no service of the active revision has this address",
+	tracker.NoTarget:          "no target of the service takes flows",
+	tracker.TargetGone:        "the target was removed, or its availability zone is out",
+	tracker.OverLimit:         "each target that takes flows is at its limit",
+	tracker.AwaitingAgreement: "the target was found down or cold, and not every balancer knows of it yet",
 }
 
 // why says which state led to a decision.
--- a/server/settings.go
+++ b/server/settings.go
@@ -37,8 +37,8 @@
 	Readers int `json:"readers,omitempty" validate:"min=0,max=64"`
 }
 
-// defaultReaders applies where the settings name no number of readers.
-const defaultReaders = 2
+// DefaultReaders applies where the settings name no number of readers.
+const DefaultReaders = 2
 
 // LoadSettings reads and checks a settings file. Its errors are a
 // loader.SyntaxError, a loader.ValueError or a SettingsError.
@@ -61,7 +61,7 @@
 
 func (s *Settings) readers() int {
 	if s.Readers == 0 {
-		return defaultReaders
+		return DefaultReaders
 	}
 	return s.Readers
 }
