--- a/standin/arranger/arranger.go
+++ b/standin/arranger/arranger.go
@@ -9,6 +9,7 @@
 package arranger
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"net/netip"
@@ -48,6 +49,11 @@
 	Duration time.Duration
 	// Balancers is the number of balancers; 0 stands for 13.
 	Balancers int
+	// BookingDesk and MenuPress are the numbers of targets of each service; 0
+	// stands for 14 and 4.
+	BookingDesk, MenuPress int
+	// Drain is how long a balancer that stops goes on forwarding; 0 stands for 3 s.
+	Drain time.Duration
 	// ExtraServices and ExtraTargets are services and targets without callers and
 	// without processes, to make the document as large as a real one.
 	ExtraServices, ExtraTargets int
@@ -65,10 +71,16 @@
 	share int
 }
 
-func services() []service {
+// The numbers of targets that the deployment has by default.
+const (
+	bookingDesk = 14
+	menuPress   = 4
+)
+
+func (p Plan) services() []service {
 	return []service{
-		{name: "booking-desk", prefix: "bd", targets: 14, address: "198.51.100.10:443", share: 75},
-		{name: "menu-press", prefix: "mp", targets: 4, address: "198.51.100.20:443", share: 25},
+		{name: "booking-desk", prefix: "bd", targets: cmp.Or(p.BookingDesk, bookingDesk), address: "198.51.100.10:443", share: 75},
+		{name: "menu-press", prefix: "mp", targets: cmp.Or(p.MenuPress, menuPress), address: "198.51.100.20:443", share: 25},
 	}
 }
 
@@ -133,7 +145,7 @@
 		in.Zones[zone] = operator.AvailabilityZone{State: operator.ZoneIn}
 	}
 	served := servicesFile{Services: map[string]operator.Service{}}
-	for _, s := range services() {
+	for _, s := range p.services() {
 		served.Services[s.name] = operator.Service{
 			Addresses:   []netip.AddrPort{netip.MustParseAddrPort(s.address)},
 			Protocol:    operator.ProtocolQUIC,
@@ -169,7 +181,7 @@
 
 func (p Plan) targets() []target {
 	var all []target
-	for _, s := range services() {
+	for _, s := range p.services() {
 		for i := range s.targets {
 			port := p.targetPorts() + portsEach*len(all)
 			all = append(all, target{
--- a/standin/arranger/balancers.go
+++ b/standin/arranger/balancers.go
@@ -1,6 +1,7 @@
 package arranger
 
 import (
+	"cmp"
 	"fmt"
 	"net/netip"
 	"time"
@@ -9,7 +10,7 @@
 	"trefoilspring.example/trefoilspring/standin/issuer"
 )
 
-// drainTime is how long a balancer that stops goes on forwarding.
+// drainTime is how long a balancer that stops goes on forwarding by default.
 const drainTime = 3 * time.Second
 
 // defaultBalancers applies where the plan names no number of balancers.
@@ -100,7 +101,7 @@
 		DataAddress: b.data, PeerAddress: b.peer, AdminAddress: b.admin,
 		FabricAddresses: []netip.AddrPort{p.port(fabricPort)},
 		Platform:        "http://" + p.port(platformPort).String(),
-		TLS:             files, Drain: operator.Duration(drainTime),
+		TLS:             files, Drain: operator.Duration(cmp.Or(p.Drain, drainTime)),
 	}
 	for _, other := range all {
 		if other.name != b.name {
--- a/standin/arranger/standins.go
+++ b/standin/arranger/standins.go
@@ -80,7 +80,7 @@
 			Duration:       operator.Duration(p.Duration), Seed: p.Seed + uint64(n),
 			Journal: p.path("journals", name+".jsonl"),
 		}
-		for _, served := range services() {
+		for _, served := range p.services() {
 			s.Loads = append(s.Loads, requester.Load{
 				Service: served.name, Address: netip.MustParseAddrPort(served.address),
 				Streams:            p.Streams * served.share / 100 / callers,
--- a/standin/cmd_layout.go
+++ b/standin/cmd_layout.go
@@ -23,12 +23,17 @@
 			&cli.IntFlag{Name: "extra-services", Usage: "services that nobody calls"},
 			&cli.IntFlag{Name: "extra-targets", Usage: "targets that nobody calls, spread over the extra services"},
 			&cli.DurationFlag{Name: "duration", Usage: "how long the callers send", Value: 24 * time.Second},
+			&cli.IntFlag{Name: "booking-desk", Usage: "targets of the service booking-desk", Value: 14},
+			&cli.IntFlag{Name: "menu-press", Usage: "targets of the service menu-press", Value: 4},
+			&cli.DurationFlag{Name: "drain", Usage: "how long a balancer that stops goes on forwarding", Value: 3 * time.Second},
 		},
 		Action: func(_ context.Context, cmd *cli.Command) error {
 			return arranger.Plan{
 				Out: cmd.String("out"), Streams: cmd.Int("streams"), Rate: cmd.Float("rate"),
 				Balancers: cmd.Int("balancers"), ExtraServices: cmd.Int("extra-services"), ExtraTargets: cmd.Int("extra-targets"),
 				Seed: cmd.Uint64("seed"), BasePort: cmd.Int("base-port"), Duration: cmd.Duration("duration"),
+				BookingDesk: cmd.Int("booking-desk"), MenuPress: cmd.Int("menu-press"),
+				Drain: cmd.Duration("drain"),
 			}.Write()
 		},
 	}
