Keep a revision prepared on all balancers for two seconds

Cause: the time of preparation counted from a balancer's own preparation and was 1 s. A balancer that prepared later forwarded an opening by its old table until then; the opening, sent again after activation, went to the new target. Also the second gap of TCP and QUIC is 2 s. Found by the exerciser (repeated openings); the test fails with the old rule.

Notes of targets keep their own 1 s (PrepareTime): it covers one gap only.

--- a/activator/activator.go
+++ b/activator/activator.go
@@ -20,14 +20,23 @@
 	"trefoilspring.example/trefoilspring/detector"
 )
 
-// PrepareTime is how long a revision stays prepared at least, so that an opening
-// which is sent again within it finds the record of its first copy.
-const PrepareTime = time.Second
+const (
+	// PrepareTime is how long openings that a note holds back are dropped at least.
+	// It covers the first gap between the copies of an opening, of 1 s.
+	PrepareTime = time.Second
+	// RecordTime is how long a revision stays prepared on all balancers at least, so
+	// that an opening which is sent again within it finds the record of its first
+	// copy. It covers the first two gaps of TCP and QUIC, of 1 s and 2 s (RFC 6298,
+	// RFC 9002).
+	RecordTime = 2 * time.Second
+)
 
-// Activator remembers since when a revision is prepared. Its zero value works.
+// Activator remembers since when a revision is prepared everywhere. Its zero value
+// works.
 type Activator struct {
 	revision uint64
 	since    time.Time
+	complete bool
 }
 
 // Allows reports whether the prepared revision may be put in force now. The
@@ -36,18 +45,20 @@
 // have prepared.
 func (a *Activator) Allows(now time.Time, revision uint64, members []detector.Member) bool {
 	if a.revision != revision {
-		a.revision = revision
-		a.since = now
-	}
-	if now.Sub(a.since) < PrepareTime {
-		return false
+		*a = Activator{revision: revision}
 	}
 	for _, m := range members {
 		if !hasPrepared(m, revision) {
+			a.complete = false
 			return false
 		}
 	}
-	return true
+	// The last balancer to prepare forwarded openings without a record until then.
+	if !a.complete {
+		a.complete = true
+		a.since = now
+	}
+	return now.Sub(a.since) >= RecordTime
 }
 
 // hasPrepared wants the very revision: a balancer that skipped it may hold a
--- /dev/null
+++ b/activator/activator_test.go
@@ -0,0 +1,40 @@
+package activator_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"trefoilspring.example/trefoilspring/activator"
+	"trefoilspring.example/trefoilspring/detector"
+	"trefoilspring.example/trefoilspring/tracker"
+)
+
+// membersAt returns the members that a balancer sees whose peer has prepared a
+// revision.
+func membersAt(now time.Time, prepared uint64) []detector.Member {
+	d := detector.New(1, 1)
+	entry := detector.Entry{ID: 2, Incarnation: 1, Sequence: 1, State: detector.Ready, Prepared: prepared}
+	d.Receive(now, detector.Message{From: tracker.MemberID(2), Entries: []detector.Entry{entry}})
+	return d.Members(now)
+}
+
+func TestRevisionStaysPreparedOnAllForTwoSeconds(t *testing.T) {
+	is := is.New(t)
+	var a activator.Activator
+	now := time.Unix(1000, 0)
+	is.True(!a.Allows(now, 2, membersAt(now, 1)))
+	now = now.Add(5 * time.Second)
+	is.True(!a.Allows(now, 2, membersAt(now, 2))) // The peer forwarded by its old table until just now.
+	is.True(!a.Allows(now.Add(1900*time.Millisecond), 2, membersAt(now, 2)))
+	is.True(a.Allows(now.Add(2*time.Second), 2, membersAt(now, 2)))
+}
+
+func TestBalancerThatSkippedARevisionHoldsItBack(t *testing.T) {
+	is := is.New(t)
+	var a activator.Activator
+	now := time.Unix(1000, 0)
+	is.True(!a.Allows(now, 2, membersAt(now, 3)))
+	is.True(!a.Allows(now.Add(time.Minute), 2, membersAt(now, 3)))
+}
