--- a/tracker/records.go
+++ b/tracker/records.go
@@ -46,6 +46,10 @@
 // Learn takes records that another balancer sent. A record that is already held
 // stays as it is: the first decision on a flow holds.
 func (t *Tracker) Learn(now time.Time, records []Record) {
+	if t.active == nil {
+		t.keepEarly(records)
+		return
+	}
 	for _, r := range records {
 		s := t.services[r.Service]
 		if s == nil {
@@ -61,6 +65,23 @@
 	}
 }
 
+// maxEarly bounds the records that wait for the first plan.
+const maxEarly = 1 << 16
+
+// keepEarly keeps records that arrive before the plan and the snapshots that a
+// joining balancer asked for: they opened after the snapshots were taken.
+func (t *Tracker) keepEarly(records []Record) {
+	room := maxEarly - len(t.early)
+	t.early = append(t.early, records[:min(room, len(records))]...)
+}
+
+// learnEarly takes the records that have waited.
+func (t *Tracker) learnEarly(now time.Time) {
+	early := t.early
+	t.early = nil
+	t.Learn(now, early)
+}
+
 // CopyAll copies all records that a balancer should keep to it once more, after
 // some may have been lost on the way.
 func (t *Tracker) CopyAll(m MemberID) {
--- a/tracker/snapshot.go
+++ b/tracker/snapshot.go
@@ -136,4 +136,5 @@
 	for _, snap := range snapshots {
 		t.Restore(now, snap)
 	}
+	t.learnEarly(now)
 }
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -66,6 +66,7 @@
 	open     map[planner.TargetID]int
 	fresh    map[planner.TargetID]time.Time
 	copies   map[MemberID]*Copy
+	early    []Record
 	noted    map[planner.TargetID]Hold
 	agreed   bool
 	stale    bool
--- a/tracker/tracker_test.go
+++ b/tracker/tracker_test.go
@@ -214,3 +214,31 @@
 	})
 	is.Equal(n, 0.0)
 }
+
+func TestRecordsThatArriveBeforeTheSnapshotsAreKept(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(2, planner.New(1, documentOf(nil)))
+	g.prepare(planner.New(2, documentOf(map[int]bool{3: true})))
+	g.activate()
+	newcomer := tracker.New(3)
+	members := membersOf(3)
+	members[2].Resolves = false
+	for _, each := range g.trackers {
+		each.SetMembers(members)
+	}
+	snapshots := []tracker.Snapshot{g.trackers[0].Snapshot(g.now), g.trackers[1].Snapshot(g.now)}
+	g.trackers = append(g.trackers, newcomer)
+	newcomer.SetMembers(members)
+	newcomer.SetStale(true)
+	opened := make(map[uint64]planner.TargetID)
+	for i := range uint64(flows) { // The copies overtake the snapshots.
+		flow := (1 + i) * 0x9e3779b97f4a7c15
+		opened[flow] = g.send(int(i)%2, flow, parser.MarkOpening)
+	}
+	newcomer.Adopt(g.now, planner.New(2, documentOf(map[int]bool{3: true})), snapshots)
+	newcomer.SetStale(false)
+	for _, each := range g.trackers {
+		each.SetMembers(membersOf(3))
+	}
+	is.Equal(g.broken(opened), 0)
+}
