Let a new resolver start idle times anew

Cause: only a resolver sees which flows are busy. One that takes over counted idle time from its own past: it settled buckets whose long flows still lived on the base target, and forgot copies of records older than one idle timeout. Both broke established flows on the first death after an idle timeout.

--- a/tracker/member.go
+++ b/tracker/member.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -110,6 +111,7 @@
 func (t *Tracker) SetMembers(members []Member) {
 	before := t.ranks
 	t.ranks = newRanks(members)
+	t.noteGained(&before)
 	for id, s := range t.services {
 		if len(s.tracked) > 0 {
 			t.copyToNewKeepers(id, s, &before)
@@ -117,6 +119,40 @@
 	}
 }
 
+// noteGained remembers the slots that this balancer resolves from now on.
+func (t *Tracker) noteGained(before *ranks) {
+	if len(t.services) == 0 {
+		return
+	}
+	for slot := range planner.Buckets {
+		if t.ranks.resolver(slot) == t.self && before.resolver(slot) != t.self {
+			t.gained[slot] = true
+		}
+	}
+}
+
+// takeOver starts the idle times of what this balancer newly resolves: it has not
+// seen the packets that its predecessor resolved.
+func (t *Tracker) takeOver(now time.Time) {
+	if len(t.gained) == 0 {
+		return
+	}
+	for id, s := range t.services {
+		for i, b := range s.tracked {
+			if t.gained[slotOf(id, i)] {
+				b.lastBase = now
+			}
+		}
+		for flow, r := range s.records {
+			if t.gained[slotOf(id, planner.BucketOf(flow))] {
+				r.seen = seconds(now)
+				s.records[flow] = r
+			}
+		}
+	}
+	clear(t.gained)
+}
+
 func (t *Tracker) copyToNewKeepers(id planner.ServiceID, s *service, before *ranks) {
 	for flow, r := range s.records {
 		slot := slotOf(id, planner.BucketOf(flow))
--- a/tracker/settler.go
+++ b/tracker/settler.go
@@ -80,6 +80,7 @@
 // timeout, and renews the copies of the others. It is to be called every second
 // or so.
 func (t *Tracker) Expire(now time.Time) {
+	t.takeOver(now)
 	for id, s := range t.services {
 		for flow, r := range s.records {
 			t.expire(now, id, s, flow, r)
@@ -108,6 +109,7 @@
 // Quiet returns the tracked buckets that this balancer resolves and on which no
 // flow is left but those on the current target, as rebase requests.
 func (t *Tracker) Quiet(now time.Time) []Settlement {
+	t.takeOver(now)
 	var quiet []Settlement
 	for id, s := range t.services {
 		if len(s.tracked) == 0 {
--- /dev/null
+++ b/tracker/settler_test.go
@@ -0,0 +1,73 @@
+package tracker_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"trefoilspring.example/trefoilspring/parser"
+	"trefoilspring.example/trefoilspring/planner"
+	"trefoilspring.example/trefoilspring/tracker"
+)
+
+// keepBusy sends a packet of each flow every half idle timeout.
+func (g *group) keepBusy(opened map[uint64]planner.TargetID, rounds int) {
+	for range rounds {
+		for flow := range opened {
+			g.send(int(flow%uint64(len(g.trackers))), flow, parser.MarkNone)
+		}
+		for at, each := range g.trackers {
+			each.Expire(g.now)
+			g.exchange(at)
+		}
+		g.now = g.now.Add(planner.DefaultIdleTimeout / 2)
+	}
+}
+
+// kill lets the others go on without one tracker.
+func (g *group) kill(at int) {
+	members := membersOf(len(g.trackers))
+	members[at].Resolves = false
+	members[at].Keeps = false
+	for i, each := range g.trackers {
+		each.SetMembers(members)
+		g.exchange(i)
+	}
+	g.trackers[at].SetStale(true)
+}
+
+func (g *group) quiet(t *tracker.Tracker) int { return len(t.Quiet(g.now)) }
+
+func TestNewResolverWaitsBeforeItSettles(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(3, planner.New(1, documentOf(nil)))
+	before := g.open(1) // These live on the base targets, without records.
+	g.prepare(planner.New(2, documentOf(map[int]bool{3: true})))
+	g.activate()
+	g.keepBusy(before, 6)
+	empty := g.quiet(g.trackers[1]) + g.quiet(g.trackers[2])
+	g.kill(0)
+	is.Equal(g.quiet(g.trackers[1])+g.quiet(g.trackers[2]), empty)
+	g.now = g.now.Add(planner.DefaultIdleTimeout + 2*time.Second)
+	is.True(g.quiet(g.trackers[1])+g.quiet(g.trackers[2]) > empty)
+}
+
+func TestNewResolverKeepsTheRecordsOfBusyFlows(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(3, planner.New(1, documentOf(nil)))
+	g.prepare(planner.New(2, documentOf(map[int]bool{3: true})))
+	g.activate()
+	opened := g.open(1)
+	g.keepBusy(opened, 2)
+	for flow := range opened {
+		g.send(int(flow%3), flow, parser.MarkNone)
+	}
+	// The copies came more than an idle timeout ago; the flows are busy.
+	g.now = g.now.Add(time.Second + time.Millisecond)
+	g.kill(0)
+	for _, each := range g.trackers[1:] {
+		each.Expire(g.now)
+	}
+	is.Equal(g.broken(opened), 0)
+}
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -67,6 +67,7 @@
 	fresh    map[planner.TargetID]time.Time
 	copies   map[MemberID]*Copy
 	early    []Record
+	gained   map[int]bool
 	noted    map[planner.TargetID]Hold
 	agreed   bool
 	stale    bool
@@ -103,6 +104,7 @@
 		open:     make(map[planner.TargetID]int),
 		fresh:    make(map[planner.TargetID]time.Time),
 		copies:   make(map[MemberID]*Copy),
+		gained:   make(map[int]bool),
 	}
 }
 
