--- a/coordinator/action.go
+++ b/coordinator/action.go
@@ -94,6 +94,7 @@
 	id      uint32
 	waiting map[tracker.MemberID]bool
 	replies []Reply
+	asked   []tracker.MemberID
 	wanted  []tracker.Settlement
 	failed  bool
 }
--- a/coordinator/joiner.go
+++ b/coordinator/joiner.go
@@ -143,7 +143,9 @@
 		c.Note("handed state to a joining balancer", "records", c.tracker.Records())
 	}
 	for _, settlement := range r.Settlements {
-		reply.Settled = append(reply.Settled, c.tracker.Settle(now, settlement))
+		// A joining balancer may yet adopt an earlier state of the bucket.
+		agrees := reply.State != detector.Joining && c.tracker.Settle(now, settlement)
+		reply.Settled = append(reply.Settled, agrees)
 	}
 	return reply
 }
--- a/coordinator/joiner_test.go
+++ b/coordinator/joiner_test.go
@@ -114,3 +114,11 @@
 	}
 	is.Equal(j.c.State(), detector.Joining)
 }
+
+func TestJoiningBalancerAgreesToNoSettling(t *testing.T) {
+	is := is.New(t)
+	j := newJoining()
+	wanted := []tracker.Settlement{{Phase: tracker.Rebase, Service: 1, Bucket: 1, Changed: 1}}
+	reply := j.c.Answer(j.now, donor, coordinator.Request{Settlements: wanted})
+	is.Equal(reply.Settled, []bool{false}) // It may adopt a snapshot that was taken before.
+}
--- a/coordinator/ticker.go
+++ b/coordinator/ticker.go
@@ -137,20 +137,26 @@
 	if len(quiet) == 0 {
 		return
 	}
-	c.settlePhase(now, quiet[:min(len(quiet), maxSettlements)])
+	c.settlePhase(now, c.settleTo(now), quiet[:min(len(quiet), maxSettlements)])
 }
 
-// maxSettlements bounds the buckets of one round.
-const maxSettlements = 256
-
-// settlePhase asks all live balancers for one phase.
-func (c *Coordinator) settlePhase(now time.Time, wanted []tracker.Settlement) {
+// settleTo returns the balancers that must agree on settling.
+func (c *Coordinator) settleTo(now time.Time) []tracker.MemberID {
 	var others []tracker.MemberID
 	for _, m := range c.detector.Members(now) {
 		others = append(others, m.ID())
 	}
+	return others
+}
+
+// maxSettlements bounds the buckets of one round.
+const maxSettlements = 256
+
+// settlePhase asks the other live balancers for one phase.
+func (c *Coordinator) settlePhase(now time.Time, others []tracker.MemberID, wanted []tracker.Settlement) {
 	c.start(&c.settle, others, Request{Settlements: wanted})
 	c.settle.wanted = wanted
+	c.settle.asked = others
 	if len(others) == 0 {
 		c.settled(now)
 	}
@@ -179,9 +185,15 @@
 		release = append(release, settlement)
 	}
 	c.Count("buckets-settled", int64(released))
-	if len(release) > 0 {
-		c.settlePhase(now, release)
+	if len(release) == 0 {
+		return
+	}
+	if !slices.Equal(r.asked, c.settleTo(now)) {
+		// One that came meanwhile may hold the bucket's earlier state.
+		c.Count("settling-retried", 1)
+		return
 	}
+	c.settlePhase(now, r.asked, release)
 }
 
 func agreed(replies []Reply, index int) bool {
--- a/tracker/settler.go
+++ b/tracker/settler.go
@@ -73,6 +73,10 @@
 	return plan != nil && plan.Lookup(index) != s.current(index)
 }
 
+// plainAge is for how many seconds a record of a plain bucket is kept: the bucket
+// may become tracked here later than where the record comes from.
+const plainAge = 10
+
 // copyAge is how many idle timeouts a copy is kept that is not renewed.
 const copyAge = 4
 
@@ -97,7 +101,7 @@
 		limit = idle * copyAge
 	}
 	switch {
-	case s.tracked[index] == nil || seconds(now)-r.seen > limit:
+	case seconds(now)-r.seen > limit || (s.tracked[index] == nil && seconds(now)-r.seen > plainAge):
 		t.forget(s, flow, r)
 	case resolves && seconds(now)-r.copied > idle:
 		r.copied = seconds(now)
--- a/tracker/settler_test.go
+++ b/tracker/settler_test.go
@@ -71,3 +71,52 @@
 	}
 	is.Equal(g.broken(opened), 0)
 }
+
+func TestRebasedStateWinsInSnapshots(t *testing.T) {
+	is := is.New(t)
+	drained := planner.New(2, documentOf(map[int]bool{3: true}))
+	g := newGroup(2, planner.New(1, documentOf(nil)))
+	g.prepare(drained)
+	g.activate()
+	g.now = g.now.Add(planner.DefaultIdleTimeout + 2*time.Second)
+	early := g.trackers[1].Snapshot(g.now)
+	for _, each := range g.trackers {
+		for _, s := range each.Quiet(g.now) {
+			g.trackers[0].Settle(g.now, s)
+			g.trackers[1].Settle(g.now, s)
+		}
+	}
+	late := g.trackers[0].Snapshot(g.now)
+	for _, snapshots := range [][]tracker.Snapshot{{early, late}, {late, early}} {
+		newcomer := tracker.New(3)
+		newcomer.SetMembers(membersOf(3))
+		newcomer.Adopt(g.now, drained, snapshots)
+		for _, state := range newcomer.Snapshot(g.now).Services {
+			for _, b := range state.Buckets {
+				is.True(b.Rebased) // The others release the bucket next.
+				is.Equal(b.Base, drained.ServiceByID(service).Lookup(int(b.Bucket)))
+			}
+		}
+	}
+}
+
+func TestReturningBalancerTakesTheOthersRecords(t *testing.T) {
+	is := is.New(t)
+	drained := planner.New(2, documentOf(map[int]bool{3: true}))
+	g := newGroup(2, planner.New(1, documentOf(nil)))
+	g.prepare(drained)
+	g.activate()
+	opened := g.open(1)
+	returning := tracker.New(2)
+	g.trackers[1] = returning
+	returning.SetMembers(membersOf(2))
+	returning.Prepare(g.now, planner.New(1, documentOf(nil)))
+	returning.Prepare(g.now, drained)
+	// It opened the same flows elsewhere, and its copies were lost.
+	wrong := planner.NewTargetID("t7")
+	for flow := range opened {
+		returning.Learn(g.now, []tracker.Record{{Service: service, Flow: flow, Target: wrong}})
+	}
+	returning.Adopt(g.now, drained, []tracker.Snapshot{g.trackers[0].Snapshot(g.now)})
+	is.Equal(g.broken(opened), 0)
+}
--- a/tracker/snapshot.go
+++ b/tracker/snapshot.go
@@ -101,7 +101,8 @@
 			continue
 		}
 		b := s.trackBucket(now, int(state.Bucket))
-		if state.Changed < b.changed {
+		if state.Changed < b.changed || (state.Changed == b.changed && b.rebased) {
+			// Once one balancer has rebased the bucket, its former base has no flows.
 			continue
 		}
 		b.base = state.Base
@@ -114,27 +115,34 @@
 
 // Adopt rebuilds the state of a balancer that joins, or comes back after it could
 // not follow the others: the plan in force elsewhere, then the snapshots of those
-// that were ready. Records that it still holds stay, since the first decision on
-// a flow holds.
+// that were ready. Records that it still holds stay unless the others know better:
+// what they decided was in force meanwhile.
 func (t *Tracker) Adopt(now time.Time, p *planner.Plan, snapshots []Snapshot) {
 	kept := t.services
 	t.services = make(map[planner.ServiceID]*service)
 	t.active = p
 	t.prepared = nil
 	for id, plan := range p.Services() {
-		s := newService(now, plan)
-		if earlier := kept[id]; earlier != nil {
-			s.records = earlier.records
-			delete(kept, id)
-		}
-		t.services[id] = s
-	}
-	for id, s := range kept {
-		t.dropService(id, s)
+		t.services[id] = newService(now, plan)
 	}
+	clear(t.open)
 	clear(t.fresh)
 	for _, snap := range snapshots {
 		t.Restore(now, snap)
 	}
 	t.learnEarly(now)
+	for id, s := range t.services {
+		if earlier := kept[id]; earlier != nil {
+			t.keepUnknown(s, earlier.records)
+		}
+	}
+}
+
+func (t *Tracker) keepUnknown(s *service, earlier map[uint64]record) {
+	for flow, r := range earlier {
+		if _, known := s.records[flow]; !known {
+			s.records[flow] = r
+			t.open[r.target]++
+		}
+	}
 }
