Let a balancer that was paused decide nothing of its own

Cause: after a freeze of 30 s a balancer still resolved the buckets it believed to be its own, decided by its old table between its first heartbeat and the first it heard, and handed on openings that had waited 30 s, though the flow had long opened elsewhere. Openings now wait for a later copy, the rest goes to the next balancer in rank, or is dropped where none is known. A packet handed on too often is dropped instead of decided without records.

The exerciser no longer counts a late packet of a flow that has been idle for longer than its idle timeout.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -137,6 +137,7 @@
 func (c *Coordinator) Refresh(now time.Time) {
 	joining := c.detector.State() == detector.Joining
 	c.tracker.SetStale(joining || !c.detector.Permitted(now))
+	c.tracker.SetResumed(c.detector.Resumed(now))
 }
 
 // Decide says what to do with a packet.
--- a/detector/detector.go
+++ b/detector/detector.go
@@ -175,7 +175,7 @@
 // with this balancer's and the receiver's own line to each of the next FanOut
 // contacts, and the table to some of them.
 func (d *Detector) Beat(now time.Time) []Delivery {
-	if len(d.beats) == 0 || now.Sub(d.beats[len(d.beats)-1].sent) > PermitAge {
+	if d.paused(now) {
 		// The first heartbeat, or the first after a pause of the process.
 		d.since = now
 		d.echoed = time.Time{}
@@ -325,11 +325,31 @@
 // live peer it is permitted, since nobody is left to disagree, once it has sent
 // heartbeats without a pause for long enough to hear of one.
 func (d *Detector) Permitted(now time.Time) bool {
-	if len(d.beats) == 0 || now.Sub(d.beats[len(d.beats)-1].sent) > PermitAge {
+	if d.paused(now) {
 		return false
 	}
-	if len(d.Members(now)) == 0 {
-		return now.Sub(d.since) > RemoveAge+PermitAge
+	if d.alone(now) {
+		return !d.Resumed(now)
 	}
 	return now.Sub(d.echoed) <= PermitAge
 }
+
+// Resumed reports whether this balancer has not yet sent heartbeats for long enough
+// to hear of others, since its start or since it was last paused.
+func (d *Detector) Resumed(now time.Time) bool {
+	return d.paused(now) || now.Sub(d.since) <= RemoveAge+PermitAge
+}
+
+func (d *Detector) paused(now time.Time) bool {
+	return len(d.beats) == 0 || now.Sub(d.beats[len(d.beats)-1].sent) > PermitAge
+}
+
+// alone reports whether no other balancer is alive.
+func (d *Detector) alone(now time.Time) bool {
+	for _, p := range d.peers {
+		if !d.dead(now, p) {
+			return false
+		}
+	}
+	return true
+}
--- a/detector/detector_test.go
+++ b/detector/detector_test.go
@@ -237,3 +237,10 @@
 	}
 	is.True(d.Permitted(now))
 }
+
+func TestPermissionIsCheckedWithoutAllocation(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(13)
+	f.run(4 * time.Second)
+	is.Equal(testing.AllocsPerRun(100, func() { f.members[0].Permitted(f.now) }), 0.0)
+}
--- a/exerciser/callers.go
+++ b/exerciser/callers.go
@@ -13,6 +13,7 @@
 	hash   uint64
 	target planner.TargetID
 	since  time.Time
+	seen   time.Time
 	long   bool
 	// ended flows are judged no more.
 	ended bool
--- a/exerciser/meter.go
+++ b/exerciser/meter.go
@@ -63,11 +63,13 @@
 		r.opened(f, target)
 		return
 	}
+	idle := r.now.Sub(f.seen) > r.size.IdleTimeout
+	f.seen = r.now
 	if f.target == target || f.ended {
 		return
 	}
 	f.ended = true
-	if r.excused(f) {
+	if idle || r.excused(f) {
 		m.spared++
 		return
 	}
@@ -83,6 +85,7 @@
 func (r *Run) opened(f *flow, target planner.TargetID) {
 	f.target = target
 	f.since = r.now
+	f.seen = r.now
 	m := r.meter
 	m.opened++
 	if since, draining := r.plans.draining[target]; draining && r.now.Sub(since) > drainDeadline {
--- a/tracker/decision.go
+++ b/tracker/decision.go
@@ -24,6 +24,7 @@
 	TargetGone
 	OverLimit
 	AwaitingAgreement
+	Outdated
 	reasonCount
 )
 
@@ -34,13 +35,14 @@
 	"target-gone",
 	"over-limit",
 	"awaiting-agreement",
+	"outdated",
 }
 
 func (r Reason) String() string { return reasonNames[r] }
 
 // Reasons lists all reasons but NoReason.
 func Reasons() []Reason {
-	return []Reason{UnknownService, NoTarget, TargetGone, OverLimit, AwaitingAgreement}
+	return []Reason{UnknownService, NoTarget, TargetGone, OverLimit, AwaitingAgreement, Outdated}
 }
 
 // Decision is what to do with one packet.
--- a/tracker/member.go
+++ b/tracker/member.go
@@ -53,6 +53,16 @@
 	return r.resolvers[slot]
 }
 
+// nextTo returns the first keeper of a slot besides self, or 0.
+func (r *ranks) nextTo(slot int, self MemberID) MemberID {
+	for _, m := range r.keepers[slot] {
+		if m != self {
+			return m
+		}
+	}
+	return 0
+}
+
 // keepersOf returns who keeps the records of a slot besides self.
 func (r *ranks) keepersOf(slot int, self MemberID) []MemberID {
 	kept := make([]MemberID, 0, copiesOfRecord)
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -71,6 +71,7 @@
 	noted    map[planner.TargetID]Hold
 	agreed   bool
 	stale    bool
+	resumed  bool
 }
 
 type service struct {
@@ -119,6 +120,12 @@
 // not decide as long as another balancer can.
 func (t *Tracker) SetStale(stale bool) { t.stale = stale }
 
+// SetResumed says whether this balancer has just started or was paused: packets
+// may have waited for it for any time. While it is also stale, it drops openings,
+// of which a later copy may have opened the flow elsewhere, and what it can't hand
+// on.
+func (t *Tracker) SetResumed(resumed bool) { t.resumed = resumed }
+
 // Stale reports what SetStale set.
 func (t *Tracker) Stale() bool { return t.stale }
 
@@ -130,9 +137,8 @@
 	}
 	index := planner.BucketOf(q.Flow)
 	b := s.tracked[index]
-	resolver := t.ranks.resolver(slotOf(q.Service, index))
-	if t.handsOn(b, resolver, q) {
-		return handOn(resolver, q.Hops+1)
+	if to := t.decider(b, slotOf(q.Service, index)); to != t.self {
+		return t.passOn(to, q)
 	}
 	if b == nil {
 		return t.byTable(now, s, index, q)
@@ -140,11 +146,29 @@
 	return t.resolve(now, s, b, index, q)
 }
 
-func (t *Tracker) handsOn(b *bucket, resolver MemberID, q Query) bool {
-	if resolver == t.self || resolver == 0 || q.Hops >= MaxHops {
-		return false
+// decider returns the balancer that must decide on a slot's packets, as far as
+// this one knows: itself where there is no other.
+func (t *Tracker) decider(b *bucket, slot int) MemberID {
+	if b == nil && !t.stale {
+		return t.self
+	}
+	to := t.ranks.resolver(slot)
+	if t.stale && to == t.self {
+		// What this balancer believes is from before it lost its permission.
+		to = t.ranks.nextTo(slot, t.self)
+	}
+	if to == 0 && (!t.stale || !t.resumed) {
+		return t.self
+	}
+	return to
+}
+
+func (t *Tracker) passOn(to MemberID, q Query) Decision {
+	late := t.stale && t.resumed && q.Mark == parser.MarkOpening
+	if to == 0 || late || q.Hops >= MaxHops {
+		return drop(Outdated)
 	}
-	return b != nil || t.stale
+	return handOn(to, q.Hops+1)
 }
 
 func (t *Tracker) byTable(now time.Time, s *service, index int, q Query) Decision {
