Step back where a revision can't be taken up

Cause: read through: activation waits for every ready balancer, so one that is alive but can't get or decode a revision kept it from being in force anywhere. Ruled out: going on without it after a time; it would decide by the old table. Before: TestBalancerThatCannotFollowStepsBack fails with the step switched off (ready for ever); after: it passes, joining again after 2 to 4 s. Conclusion: the balancer gives up its say first, then the others go on.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -80,12 +80,14 @@
 	offered   *Record
 	members   []tracker.Member
 	expiredAt time.Time
-	settledAt time.Time
-	join      round
-	settle    round
-	fetch     round
-	lastRound uint32
-	actions   []Action
+	// laggingSince is when the others were first seen to be ahead.
+	laggingSince time.Time
+	settledAt    time.Time
+	join         round
+	settle       round
+	fetch        round
+	lastRound    uint32
+	actions      []Action
 }
 
 // New returns a Coordinator that is joining its group.
--- a/coordinator/joiner_test.go
+++ b/coordinator/joiner_test.go
@@ -122,3 +122,24 @@
 	reply := j.c.Answer(j.now, donor, coordinator.Request{Settlements: wanted})
 	is.Equal(reply.Settled, []bool{false}) // It may adopt a snapshot that was taken before.
 }
+
+func TestBalancerThatCannotFollowStepsBack(t *testing.T) {
+	is := is.New(t)
+	j := newJoining()
+	fresh := func(r coordinator.Request) (coordinator.Reply, bool) {
+		return coordinator.Reply{State: detector.Ready, Active: []byte("1"), Snapshot: &tracker.Snapshot{}}, r.Join
+	}
+	for range 5 {
+		j.step(fresh)
+	}
+	is.Equal(j.c.State(), detector.Ready)
+	j.prepared = 2 // The donor has a revision that it never hands over.
+	steps := 0
+	for j.c.State() == detector.Ready && steps < 15 {
+		j.step(fresh)
+		steps++
+	}
+	is.Equal(j.c.State(), detector.Joining)
+	waited := time.Duration(steps) * detector.Interval
+	is.True(waited >= 2*time.Second && waited <= 4*time.Second)
+}
--- a/coordinator/ticker.go
+++ b/coordinator/ticker.go
@@ -22,6 +22,7 @@
 	c.updateMembers(now)
 	c.activate(now)
 	c.startFetch(now)
+	c.stepBack(now)
 	c.startJoin(now)
 	c.expire(now)
 	c.startSettling(now)
