Recover from a platform that went back

A platform restored from a backup, or wiped, holds an earlier revision than the balancers have in force. They kept theirs, but a change that an operator then applied got a revision that no balancer takes: accepted, yet never in force. A watching balancer now writes the revision in force again, and gives a change that was accepted after the platform went back the revision after the one in force. What went back beyond the 256 revisions that a balancer remembers counts as old.

Ruled out: taking the platform's revision (it reverts what was accepted), and leaving it as it is (see above).

--- a/publisher/chunker.go
+++ b/publisher/chunker.go
@@ -129,3 +129,26 @@
 	}
 	return nil
 }
+
+// Pack returns the whole record, compressed, for a peer that no patches lead to
+// it.
+func Pack(r Record) ([]byte, error) {
+	encoded, err := Encode(r)
+	if err != nil {
+		return nil, err
+	}
+	return pack(encoded)
+}
+
+// Unpack reads what Pack made, with the checks of Decode.
+func Unpack(packed []byte) (Record, error) {
+	r, err := gzip.NewReader(bytes.NewReader(packed))
+	if err != nil {
+		return Record{}, &RecordError{cause: err}
+	}
+	encoded, err := io.ReadAll(io.LimitReader(r, maxDocumentBytes))
+	if err != nil {
+		return Record{}, &RecordError{cause: err}
+	}
+	return Decode(encoded)
+}
--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -190,13 +190,7 @@
 	if err != nil {
 		return Root{}, err
 	}
-	root := Root{
-		Revision: next.Revision,
-		ChangeID: next.ChangeID,
-		Author:   next.Author,
-		Time:     next.Time,
-		Digest:   next.Digest,
-	}
+	root := rootOf(next)
 	if len(encoded) <= inlineBytes {
 		root.Document = encoded
 		return root, nil
@@ -210,11 +204,16 @@
 	if root.Snapshot.Chunks > 0 && covered && sizeSince(root.Patches, root.Snapshot.Revision) <= snapshotBytes {
 		return root, nil
 	}
-	chunks, err := writeSnapshot(ctx, p.store, next.ChangeID, encoded)
+	return p.withSnapshot(ctx, root, encoded)
+}
+
+// withSnapshot writes the snapshot of root and returns the root that names it.
+func (p *Publisher) withSnapshot(ctx context.Context, root Root, encoded []byte) (Root, error) {
+	chunks, err := writeSnapshot(ctx, p.store, root.ChangeID, encoded)
 	if err != nil {
 		return Root{}, err
 	}
-	root.Snapshot = Snapshot{Revision: next.Revision, ID: next.ChangeID, Chunks: chunks, Digest: next.Digest}
+	root.Snapshot = Snapshot{Revision: root.Revision, ID: root.ChangeID, Chunks: chunks, Digest: root.Digest}
 	return root, nil
 }
 
--- a/publisher/reader.go
+++ b/publisher/reader.go
@@ -32,6 +32,9 @@
 	if record, err := Advance(root, held); err == nil {
 		return record, FromPatches, nil
 	}
+	if root.Snapshot.Chunks == 0 {
+		return Record{}, FromSnapshot, &GapError{held: held.Revision, revision: root.Revision}
+	}
 	d, err := readSnapshot(ctx, store, root.Snapshot)
 	if err != nil {
 		return Record{}, FromSnapshot, err
@@ -78,14 +81,12 @@
 	return d, nil
 }
 
-// complete checks the document against the root's digest.
+// complete checks the document against the root's digest. A patched document is
+// not validated again: the publisher validated the one with this digest.
 func complete(root Root, d operator.Document, source Source, err error) (Record, Source, error) {
 	if err == nil {
 		err = checkDigest(d, root.Digest)
 	}
-	if err == nil && source == FromPatches {
-		err = operator.Validate(d)
-	}
 	if err != nil {
 		return Record{}, source, &RecordError{revision: root.Revision, cause: err}
 	}
--- a/publisher/root.go
+++ b/publisher/root.go
@@ -1,6 +1,7 @@
 package publisher
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -58,14 +59,14 @@
 	if err := json.Unmarshal(data, &r); err != nil {
 		return Root{}, &RecordError{cause: err}
 	}
-	if err := r.check(); err != nil {
+	if err := r.Validate(); err != nil {
 		return Root{}, &RecordError{revision: r.Revision, cause: err}
 	}
 	return r, nil
 }
 
-// check checks that the parts of a root fit together.
-func (r Root) check() error {
+// Validate checks that the parts of a root fit together.
+func (r Root) Validate() error {
 	if r.Revision == 0 || r.ChangeID == "" {
 		return errors.New("no revision or change id")
 	}
@@ -80,24 +81,35 @@
 	return nil
 }
 
+// rootOf returns the root of a record without its document.
+func rootOf(r Record) Root {
+	return Root{Revision: r.Revision, ChangeID: r.ChangeID, Author: r.Author, Time: r.Time, Digest: r.Digest}
+}
+
 // encode returns the root as it lies in the platform.
 func (r Root) encode() ([]byte, error) {
 	data, err := json.Marshal(r, json.Deterministic(true))
 	return data, errors.Wrap(err, "encoding the root")
 }
 
-// Since returns the root for a peer that holds revision: with the patches after
-// it, and without them if they don't reach back that far.
+// Since returns the root for a peer that holds revision: with only the patches
+// after it, if they reach back that far.
 func (r Root) Since(revision uint64) Root {
-	patches, ok := r.patchesAfter(revision)
-	if ok {
-		r.Document = nil
-		r.Snapshot = Snapshot{}
-	}
-	r.Patches = patches
+	r.Patches, _ = r.patchesAfter(revision)
 	return r
 }
 
+// Extend returns the root of next with the patches of r before its own, as far
+// as they follow each other and fit, so that a root that came without them can
+// serve other peers.
+func (r Root) Extend(next Root) Root {
+	first := next.Revision - uint64(len(next.Patches))
+	if r.Revision == first && len(next.Patches) > 0 {
+		next.Patches = window(slices.Concat(r.Patches, next.Patches))
+	}
+	return next
+}
+
 // patchesAfter returns the patches that lead from revision to that of r, and
 // whether they do without a gap.
 func (r Root) patchesAfter(revision uint64) ([]Patch, bool) {
--- a/standin/keeper/counter.go
+++ b/standin/keeper/counter.go
@@ -13,6 +13,8 @@
 	Lost        uint64 `json:"lost-answers"`
 	BytesIn     uint64 `json:"bytes-in"`
 	BytesOut    uint64 `json:"bytes-out"`
+	// WatchBytesOut is the part of BytesOut that answered watches.
+	WatchBytesOut uint64 `json:"watch-bytes-out"`
 }
 
 type counter struct {
--- a/standin/keeper/handlers.go
+++ b/standin/keeper/handlers.go
@@ -55,6 +55,9 @@
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
 	}
+	if after > 0 {
+		s.counter.add(func(c *Calls) { c.WatchBytesOut += uint64(len(body)) })
+	}
 	s.answer(w, http.StatusOK, body)
 }
 
--- a/watcher/core.go
+++ b/watcher/core.go
@@ -13,6 +13,11 @@
 //	w.Tell(recordFromPeer)
 package watcher
 
+import "trefoilspring.example/trefoilspring/publisher"
+
+// ancestryLength is how many revisions are remembered.
+const ancestryLength = 256
+
 // Verdict is what the core decided on an offered revision.
 type Verdict int
 
@@ -58,6 +63,8 @@
 	revision uint64
 	changeID string
 	counts   Counts
+	// ancestry holds the change ids of the latest revisions that were in force.
+	ancestry map[uint64]string
 }
 
 // Revision returns the revision in force; 0 means none.
@@ -75,6 +82,7 @@
 	case revision > c.revision:
 		c.revision = revision
 		c.changeID = changeID
+		c.remember(revision, changeID)
 		c.counts.Taken++
 		return Taken
 	case revision < c.revision:
@@ -87,3 +95,29 @@
 	c.counts.Same++
 	return Same
 }
+
+func (c *Core) remember(revision uint64, changeID string) {
+	if c.ancestry == nil {
+		c.ancestry = map[uint64]string{}
+	}
+	c.ancestry[revision] = changeID
+	for known := range c.ancestry {
+		if known+ancestryLength <= revision {
+			delete(c.ancestry, known)
+		}
+	}
+}
+
+// Recover decides what to do about the platform's root, whose revision is 0 if
+// it is absent. A revision that was in force here before is an old one; one with
+// another change id than was in force here was accepted after the platform went
+// back. What is not remembered is taken for old.
+func (c *Core) Recover(revision uint64, changeID string) publisher.Recovery {
+	if revision > c.revision || revision == c.revision && changeID == c.changeID {
+		return publisher.LeaveRoot
+	}
+	if known, ok := c.ancestry[revision]; ok && known != changeID {
+		return publisher.Renumber
+	}
+	return publisher.PutBack
+}
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -26,20 +26,24 @@
 	// OnDocument is called with each record that comes in force, one at a time
 	// and with growing revisions.
 	OnDocument func(publisher.Record)
-	// OnRoot is called after OnDocument with a root that was read from the
-	// platform, for telling peers.
+	// OnRoot is called after OnDocument with the root of the record, for telling
+	// peers.
 	OnRoot func(publisher.Root)
 	// Wait is how long one query waits for a change.
 	Wait time.Duration
 	// Log gets one line for each change of state.
 	Log *slog.Logger
 
-	mu       sync.Mutex
-	core     Core
-	record   publisher.Record
-	sources  map[publisher.Source]uint64
-	invalid  uint64
-	failures uint64
+	mu     sync.Mutex
+	core   Core
+	record publisher.Record
+	root   publisher.Root
+	// platform is the root that was last read there; it is for the loop alone.
+	platform  publisher.Root
+	sources   map[publisher.Source]uint64
+	invalid   uint64
+	recovered uint64
+	failures  uint64
 }
 
 // New returns a watcher of the store.
@@ -86,7 +90,7 @@
 		state.after = 0
 		return false
 	}
-	if entry.Found() && !w.read(ctx, entry) {
+	if !w.read(ctx, entry) || !w.recover(ctx) {
 		state.after = 0
 		return false
 	}
@@ -144,8 +148,13 @@
 
 // read takes up a root, and reports whether the platform answered all it took.
 func (w *Watcher) read(ctx context.Context, entry platform.Entry) bool {
+	if !entry.Found() {
+		w.platform = publisher.Root{}
+		return true
+	}
 	root, err := publisher.DecodeRoot(entry.Value())
 	if err == nil {
+		w.platform = root
 		_, err = w.TellRoot(ctx, root)
 	}
 	var invalid *publisher.RecordError
@@ -181,11 +190,7 @@
 		return 0, err
 	}
 	w.count(source)
-	verdict := w.Tell(record)
-	if verdict == Taken {
-		w.OnRoot(root)
-	}
-	return verdict, nil
+	return w.take(record, root), nil
 }
 
 // TellPatches offers a root of a peer by its patches alone. Its error is a
@@ -200,7 +205,28 @@
 		return 0, err
 	}
 	w.count(publisher.FromPatches)
-	return w.Tell(record), nil
+	return w.take(record, root), nil
+}
+
+// take offers a record with its root, which is kept for peers.
+func (w *Watcher) take(record publisher.Record, root publisher.Root) Verdict {
+	verdict := w.Tell(record)
+	if verdict == Taken {
+		w.mu.Lock()
+		root = w.root.Extend(root)
+		w.root = root
+		w.mu.Unlock()
+		w.OnRoot(root)
+	}
+	return verdict
+}
+
+// Root returns the latest root that was taken, for telling peers; its revision is
+// 0 if there is none.
+func (w *Watcher) Root() publisher.Root {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.root
 }
 
 func (w *Watcher) count(source publisher.Source) {
