Spread revisions between peers, with two watches an availability zone

Package relayer decides which balancers watch the platform (two by rendezvous over the live ones, those whose watch fails last), and what the others tell and ask. A balancer without memory takes the whole document from a peer while the platform is down.

--- /dev/null
+++ b/relayer/core_test.go
@@ -0,0 +1,121 @@
+package relayer_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"trefoilspring.example/trefoilspring/publisher"
+	"trefoilspring.example/trefoilspring/relayer"
+)
+
+func members(n int) []relayer.Member {
+	list := make([]relayer.Member, n)
+	for i := range list {
+		list[i].ID = fmt.Sprintf("balancer-%02d", i)
+	}
+	return list
+}
+
+func watching(list []relayer.Member) map[string]bool {
+	found := map[string]bool{}
+	for _, member := range list {
+		if relayer.Watches(member.ID, list) {
+			found[member.ID] = true
+		}
+	}
+	return found
+}
+
+func TestFewWatch(t *testing.T) {
+	is := is.New(t)
+	for _, n := range []int{1, 2, 13, 76} {
+		is.Equal(len(watching(members(n))), min(n, relayer.WatchersPerZone))
+	}
+	// One that fails is replaced, the other one stays; if all fail, some try on.
+	list := members(13)
+	before := watching(list)
+	for i := range list {
+		if before[list[i].ID] {
+			list[i].Failing = true
+			delete(before, list[i].ID)
+			break
+		}
+	}
+	after := watching(list)
+	is.Equal(len(after), relayer.WatchersPerZone)
+	for id := range before {
+		is.True(after[id])
+	}
+	for i := range list {
+		list[i].Failing = true
+	}
+	is.Equal(len(watching(list)), relayer.WatchersPerZone)
+}
+
+func TestAsksOneThatIsAheadUntilAnswered(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_000, 0)
+	c := relayer.NewCore("self")
+	c.Join("a")
+	c.Join("b")
+	c.Heard("a", 7)
+	c.Heard("b", 7)
+	first := c.Tick(now)
+	is.Equal(len(first), 1)
+	is.Equal(*first[0].Message().Request, relayer.Request{Held: 0})
+	is.Equal(len(c.Tick(now.Add(time.Millisecond))), 0)
+	// No answer: the other one is asked.
+	second := c.Tick(now.Add(2 * time.Second))
+	is.Equal(len(second), 1)
+	is.True(second[0].Peer() != first[0].Peer())
+	c.Learned(7)
+	is.Equal(len(c.Tick(now.Add(9*time.Second))), 0)
+	c.Took(8)
+	told := c.Tick(now.Add(9 * time.Second))
+	is.Equal(len(told), 2)
+	is.Equal(told[0].Message().Announcement.Revision, uint64(8))
+}
+
+func TestMessageCodec(t *testing.T) {
+	is := is.New(t)
+	root := publisher.Root{
+		Revision: 3, ChangeID: "X", Digest: "d", Time: time.Unix(1_000, 0).UTC(),
+		Patches: []publisher.Patch{{Revision: 3, ChangeID: "X", Merge: []byte(`{"targets":{}}`)}},
+	}
+	data, err := relayer.Encode(relayer.Message{Update: &relayer.Update{Root: root}})
+	is.NoErr(err)
+	m, err := relayer.Decode(data)
+	is.NoErr(err)
+	m.Update.Root.Time = m.Update.Root.Time.UTC()
+	is.Equal(m.Update.Root, root)
+	_, err = relayer.Decode([]byte{0xa0})
+	var bad *relayer.MessageError
+	is.True(errors.As(err, &bad))
+}
+
+func FuzzDecode(f *testing.F) {
+	for _, m := range []relayer.Message{
+		{Announcement: &relayer.Announcement{Revision: 7}},
+		{Request: &relayer.Request{Held: 7, Whole: true}},
+		{Whole: &relayer.Whole{Packed: []byte("x")}},
+	} {
+		data, err := relayer.Encode(m)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		m, err := relayer.Decode(data)
+		if err != nil {
+			return
+		}
+		if _, err := relayer.Encode(m); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
