Probe each target by two balancers

Each target is probed once a second by the two ready balancers that rank first for it by rendezvous, with a timeout below the interval; a failed probe is counted by its reason, a changed condition logs one line.

--- a/coordinator/health.go
+++ b/coordinator/health.go
@@ -100,9 +100,6 @@
 
 // Probed takes the outcome of a probe.
 func (c *Coordinator) Probed(now time.Time, target planner.TargetID, p assessor.Probe) {
-	if !p.Answered {
-		c.Count("probe-failed", 1)
-	}
 	verdict, complete := c.assessor.Observe(target, p)
 	if !complete || c.detector.State() != detector.Ready || !c.knowsTarget(target) {
 		return
--- a/server/server.go
+++ b/server/server.go
@@ -102,6 +102,7 @@
 	s.group.Go(func() error { return s.node.Run(s.work) })
 	s.group.Go(func() error { return s.serveAdmin(s.work) })
 	s.group.Go(func() error { return s.watcher.Run(s.work) })
+	s.group.Go(func() error { return s.newProber().Run(s.work) })
 	s.group.Go(s.tickLoop)
 	s.group.Go(func() error {
 		select {
