--- a/coordinator/events.go
+++ b/coordinator/events.go
@@ -11,8 +11,8 @@
 		"join-retried",
 		"malformed-document",
 		"permission-lost",
-		"probe-failed",
 		"settling-retried",
+		"stepped-back",
 	}
 	for _, c := range [...]detector.Condition{detector.Serving, detector.Down, detector.Cold} {
 		names = append(names, "target-"+c.String())
--- a/server/counters_test.go
+++ b/server/counters_test.go
@@ -18,6 +18,7 @@
 	"trefoilspring.example/trefoilspring/forwarder"
 	"trefoilspring.example/trefoilspring/peer"
 	"trefoilspring.example/trefoilspring/server"
+	"trefoilspring.example/trefoilspring/target"
 )
 
 var counterRow = regexp.MustCompile("(?m)^\\| `([a-z-]+)` \\| [^|]+ \\| [^|]+ \\|$")
@@ -31,6 +32,7 @@
 	wanted = append(wanted, coordinator.Events()...)
 	wanted = append(wanted, peer.Events()...)
 	wanted = append(wanted, server.Events()...)
+	wanted = append(wanted, target.Events()...)
 	page, err := os.ReadFile("../docs/COUNTERS.md")
 	is.NoErr(err)
 	var written []string
@@ -48,6 +50,7 @@
 		"../coordinator": coordinator.Events(),
 		"../peer":        peer.Events(),
 		".":              server.Events(),
+		"../target":      target.Events(),
 	} {
 		t.Run(folder, func(t *testing.T) {
 			is := is.New(t)
--- a/target/target.go
+++ b/target/target.go
@@ -137,24 +137,36 @@
 	p.Count("probes", 1)
 	probe := assessor.Probe{At: time.Now(), Answered: err == nil}
 	if err != nil {
-		p.Count(reason(err), 1)
+		p.Count("probe-"+reason(err), 1)
 	} else if report.StartedUnixMs > 0 {
 		probe.Started = time.UnixMilli(report.StartedUnixMs)
 	}
 	p.OnProbe(t.ID(), probe)
 }
 
-// reason names the counter of a failed probe.
+// The reasons for a failed probe.
+const (
+	timedOut    = "timed-out"
+	malformed   = "malformed"
+	unreachable = "unreachable"
+)
+
+// Events returns the names that Count is called with.
+func Events() []string {
+	return []string{"probes", "probe-" + timedOut, "probe-" + malformed, "probe-" + unreachable}
+}
+
+// reason names why a probe failed.
 func reason(err error) string {
 	var status *StatusError
 	var report *ReportError
 	switch {
 	case errors.Is(err, context.DeadlineExceeded):
-		return "probe-timed-out"
+		return timedOut
 	case errors.As(err, &status), errors.As(err, &report):
-		return "probe-malformed"
+		return malformed
 	default:
-		return "probe-unreachable"
+		return unreachable
 	}
 }
 
