Follow a revision that is active elsewhere at once

Cause: a balancer that joined or came back took the oldest active revision of the others and made itself and some of them wait anew, so that for over 2 s some opened flows by the new table and some by the old; and it held records of targets that only the new revision serves for unusable.

A target that is named by the prepared revision alone has its address there: the server looks it up through the tracker.

The new tests of the tracker and the activator fail without it.

--- a/activator/activator.go
+++ b/activator/activator.go
@@ -44,6 +44,9 @@
 // waited for: they decide nothing, and become ready only with what the others
 // have prepared.
 func (a *Activator) Allows(now time.Time, revision uint64, members []detector.Member) bool {
+	if activeElsewhere(revision, members) {
+		return true
+	}
 	if a.revision != revision {
 		*a = Activator{revision: revision}
 	}
@@ -61,6 +64,17 @@
 	return now.Sub(a.since) >= RecordTime
 }
 
+// activeElsewhere reports whether a balancer has found the revision prepared by
+// all: the sooner the others follow, the shorter they open flows differently.
+func activeElsewhere(revision uint64, members []detector.Member) bool {
+	for _, m := range members {
+		if m.State() != detector.Joining && m.Active() == revision {
+			return true
+		}
+	}
+	return false
+}
+
 // hasPrepared wants the very revision: a balancer that skipped it may hold a
 // bucket for unchanged that it changes.
 func hasPrepared(m detector.Member, revision uint64) bool {
--- a/activator/activator_test.go
+++ b/activator/activator_test.go
@@ -38,3 +38,15 @@
 	is.True(!a.Allows(now, 2, membersAt(now, 3)))
 	is.True(!a.Allows(now.Add(time.Minute), 2, membersAt(now, 3)))
 }
+
+func TestRevisionThatIsActiveElsewhereFollowsAtOnce(t *testing.T) {
+	is := is.New(t)
+	var a activator.Activator
+	now := time.Unix(1000, 0)
+	d := detector.New(1, 1)
+	for id := tracker.MemberID(2); id < 4; id++ {
+		entry := detector.Entry{ID: id, Incarnation: 1, Sequence: 1, State: detector.Ready, Active: uint64(id - 1), Prepared: 2}
+		d.Receive(now, detector.Message{From: id, Entries: []detector.Entry{entry}})
+	}
+	is.True(a.Allows(now, 2, d.Members(now)))
+}
--- a/coordinator/joiner.go
+++ b/coordinator/joiner.go
@@ -63,7 +63,8 @@
 	var snapshots []tracker.Snapshot
 	for _, reply := range r.replies {
 		if a := c.decode(reply.Active); a != nil {
-			active = older(active, a)
+			// Where one has activated a revision, all have prepared it.
+			active = newer(active, a)
 			latest = newer(latest, a)
 		}
 		latest = newer(latest, c.decode(reply.Prepared))
@@ -112,13 +113,6 @@
 	return &record
 }
 
-func older(a, b *Record) *Record {
-	if a == nil || (b != nil && b.Revision < a.Revision) {
-		return b
-	}
-	return a
-}
-
 func newer(a, b *Record) *Record {
 	if a == nil || (b != nil && b.Revision > a.Revision) {
 		return b
@@ -137,8 +131,10 @@
 		// From here on, the joining balancer gets copies of what is recorded.
 		c.detector.Introduce(now, from)
 		c.updateMembers(now)
-		snapshot := c.tracker.Snapshot(now)
+		snapshot := c.tracker.SnapshotFor(now, from)
 		reply.Snapshot = &snapshot
+		c.answered[from] = true
+		c.updateMembers(now)
 		reply.Notes = c.spread(now)
 		c.Note("handed state to a joining balancer", "records", c.tracker.Records())
 	}
--- a/server/server.go
+++ b/server/server.go
@@ -255,7 +255,7 @@
 func (s *Server) destination(d tracker.Decision) netip.AddrPort {
 	switch d.Action() {
 	case tracker.Forward:
-		return s.coordinator.Tracker().Active().Target(d.Target()).Address()
+		return s.coordinator.Tracker().Target(d.Target()).Address()
 	case tracker.HandOn:
 		return s.dataAddress(d.Member())
 	default:
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -278,14 +278,27 @@
 	return Decision{action: Forward, target: target}
 }
 
-// mayReceive holds back packets from targets that any known revision removes or
-// gives to another service, before the revision is active: what operators took
-// out gets nothing.
+// mayReceive goes by the latest known revision, before it is active: what operators
+// took out gets nothing, and flows that a balancer which activated earlier opened
+// on a new target stay there.
 func (t *Tracker) mayReceive(id planner.ServiceID, target planner.TargetID) bool {
-	if !serves(t.active, id, target) {
-		return false
+	if t.prepared != nil {
+		return serves(t.prepared, id, target)
+	}
+	return serves(t.active, id, target)
+}
+
+// Target returns a target that Decide may name, or nil.
+func (t *Tracker) Target(id planner.TargetID) *planner.Target {
+	for _, p := range [...]*planner.Plan{t.prepared, t.active} {
+		if p == nil {
+			continue
+		}
+		if target := p.Target(id); target != nil {
+			return target
+		}
 	}
-	return t.prepared == nil || serves(t.prepared, id, target)
+	return nil
 }
 
 func serves(p *planner.Plan, id planner.ServiceID, target planner.TargetID) bool {
--- a/tracker/tracker_test.go
+++ b/tracker/tracker_test.go
@@ -242,3 +242,23 @@
 	}
 	is.Equal(g.broken(opened), 0)
 }
+
+func TestFlowOfANewTargetSurvivesAResolverThatIsNotYetActive(t *testing.T) {
+	is := is.New(t)
+	with := documentOf(nil)
+	without := documentOf(nil)
+	delete(without.Targets, "t3")
+	g := newGroup(2, planner.New(1, without))
+	g.prepare(planner.New(2, with))
+	g.trackers[0].Activate(g.now)
+	opened := make(map[uint64]planner.TargetID)
+	for i := range uint64(flows) {
+		flow := i * 0x9e3779b97f4a7c15
+		opened[flow] = g.send(0, flow, parser.MarkOpening)
+	}
+	g.kill(0)
+	for flow, target := range opened {
+		is.Equal(g.send(1, flow, parser.MarkOpening), target) // The opening is sent again.
+		is.True(g.trackers[1].Target(target) != nil)
+	}
+}
