Copy records once, and repeat lost copies at intervals

A cut path made each lost batch repeat all records; a joining balancer got each record up to six times; renewals came twice as often as copies need.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -73,6 +73,9 @@
 	limiter   *limiter.Limiter
 	assessor  *assessor.Assessor
 	notes     map[planner.TargetID]heldNote
+	lost      map[tracker.MemberID]bool
+	copiedAt  time.Time
+	answered  map[tracker.MemberID]bool
 	agreement agreement
 	activator activator.Activator
 	active    *Record
@@ -103,6 +106,8 @@
 		limiter:  limiter.New(config.Self),
 		assessor: assessor.New(),
 		notes:    make(map[planner.TargetID]heldNote),
+		lost:     make(map[tracker.MemberID]bool),
+		answered: make(map[tracker.MemberID]bool),
 	}
 	c.tracker.SetAdmit(c.admit)
 	c.tracker.SetStale(true)
@@ -174,11 +179,11 @@
 	c.tracker.Learn(now, records)
 }
 
-// Lost is told that records sent to a balancer may not have arrived.
+// Lost is told that records sent to a balancer may not have arrived. They are
+// copied again by a later Tick: a path that stays cut loses many.
 func (c *Coordinator) Lost(id tracker.MemberID) {
 	if c.IsMember(id) {
-		c.tracker.CopyAll(id)
-		c.collectCopies()
+		c.lost[id] = true
 	}
 }
 
--- a/coordinator/ticker.go
+++ b/coordinator/ticker.go
@@ -11,6 +11,8 @@
 const (
 	// expireInterval is how often idle records are forgotten.
 	expireInterval = time.Second
+	// copyInterval is how often lost copies are repeated at most.
+	copyInterval = 5 * time.Second
 	// settleInterval is how often quiet buckets are looked for.
 	settleInterval = 2 * time.Second
 )
@@ -25,6 +27,7 @@
 	c.stepBack(now)
 	c.startJoin(now)
 	c.expire(now)
+	c.copyAgain(now)
 	c.startSettling(now)
 	return c.Actions()
 }
@@ -59,8 +62,12 @@
 		Keeps:    c.detector.State() != detector.Leaving,
 	}}
 	for _, m := range c.detector.Members(now) {
+		if m.State() != detector.Joining {
+			delete(c.answered, m.ID())
+		}
 		members = append(members, tracker.Member{
 			ID:       m.ID(),
+			Asks:     m.State() == detector.Joining && !c.answered[m.ID()],
 			Resolves: m.State() == detector.Ready && !m.Suspect(),
 			Keeps:    m.State() != detector.Leaving,
 		})
@@ -109,6 +116,20 @@
 	c.endRamps(now)
 }
 
+// copyAgain repeats the copies that may have been lost.
+func (c *Coordinator) copyAgain(now time.Time) {
+	if len(c.lost) == 0 || now.Sub(c.copiedAt) < copyInterval {
+		return
+	}
+	c.copiedAt = now
+	for _, m := range c.members {
+		if c.lost[m.ID] {
+			c.tracker.CopyAll(m.ID)
+		}
+	}
+	clear(c.lost)
+}
+
 // endRamps lifts the limits of targets whose ramp is over.
 func (c *Coordinator) endRamps(now time.Time) {
 	active := c.tracker.Active()
--- a/exerciser/callers.go
+++ b/exerciser/callers.go
@@ -1,6 +1,7 @@
 package exerciser
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"trefoilspring.example/trefoilspring/parser"
@@ -29,7 +30,7 @@
 type callers struct {
 	run   *Run
 	long  []*flow
-	next  uint64
+	seeds *rand.Rand
 	carry float64
 	turn  int
 }
@@ -41,13 +42,12 @@
 	again = 20
 )
 
-func newCallers(r *Run) *callers { return &callers{run: r} }
-
-func (c *callers) hash() uint64 {
-	c.next++
-	return (c.next + c.run.size.Seed<<32) * 0x9e3779b97f4a7c15
+func newCallers(r *Run) *callers {
+	return &callers{run: r, seeds: rand.New(rand.NewPCG(r.size.Seed, 4))}
 }
 
+func (c *callers) hash() uint64 { return c.seeds.Uint64() }
+
 // establish opens the long flows.
 func (c *callers) establish() {
 	c.long = make([]*flow, c.run.size.LongFlows)
--- a/exerciser/exerciser.go
+++ b/exerciser/exerciser.go
@@ -44,7 +44,7 @@
 func Today(seed uint64) Size {
 	return Size{
 		Name: "today", Seed: seed, Balancers: 13, Targets: 14, LongFlows: 14 * 4400,
-		OpeningsPerSecond: 2000, PacketsPerSecond: 20000, IdleTimeout: 30 * time.Second, Duration: 120 * time.Second,
+		OpeningsPerSecond: 2000, PacketsPerSecond: 20000, IdleTimeout: 30 * time.Second, Duration: 150 * time.Second,
 	}
 }
 
@@ -52,7 +52,7 @@
 func Aim(seed uint64) Size {
 	return Size{
 		Name: "aim", Seed: seed, Balancers: 76, Targets: 577, LongFlows: 706000,
-		OpeningsPerSecond: 5000, PacketsPerSecond: 40000, IdleTimeout: time.Minute, Duration: 120 * time.Second,
+		OpeningsPerSecond: 5000, PacketsPerSecond: 40000, IdleTimeout: time.Minute, Duration: 150 * time.Second,
 	}
 }
 
@@ -66,9 +66,7 @@
 
 // Run is one way under one trace.
 type Run struct {
-	// Break switches off a mechanism, to prove that it is needed.
-	Break Switches
-
+	off     Switches
 	size    Size
 	way     Way
 	now     time.Time
@@ -97,8 +95,13 @@
 }
 
 // New returns a run with all balancers started and empty.
-func New(size Size, way Way) *Run {
+func New(size Size, way Way) *Run { return Without(size, way, Switches{}) }
+
+// Without returns a run that goes without some mechanisms, to prove that they are
+// needed.
+func Without(size Size, way Way, off Switches) *Run {
 	r := &Run{
+		off:    off,
 		size:   size,
 		way:    way,
 		start:  time.Unix(1_000_000, 0),
--- a/exerciser/figures.go
+++ b/exerciser/figures.go
@@ -32,8 +32,10 @@
 	// ControlBytes is sent a second and balancer, on average and at most.
 	ControlBytes    float64 `json:"control_bytes_per_second"`
 	ControlBytesMax float64 `json:"control_bytes_per_second_max"`
-	HandedOnShare   float64 `json:"handed_on_share"`
-	LostShare       float64 `json:"lost_share"`
+	// ControlBytesByKind splits ControlBytes.
+	ControlBytesByKind map[string]float64 `json:"control_bytes_by_kind"`
+	HandedOnShare      float64            `json:"handed_on_share"`
+	LostShare          float64            `json:"lost_share"`
 	// RecordsPerFlow is summed over all balancers at the end of the run.
 	RecordsPerFlow float64 `json:"records_per_flow"`
 	Records        int     `json:"records"`
@@ -55,6 +57,10 @@
 		f.ControlBytesMax = max(f.ControlBytesMax, float64(n)/seconds)
 	}
 	f.ControlBytes = float64(total) / seconds / float64(r.size.Balancers)
+	f.ControlBytesByKind = make(map[string]float64)
+	for kind, n := range m.byKind {
+		f.ControlBytesByKind[kind] = float64(n) / seconds / float64(r.size.Balancers)
+	}
 	for _, n := range r.nodes {
 		if n.alive {
 			f.Records += n.decider.Records()
--- a/exerciser/meter.go
+++ b/exerciser/meter.go
@@ -32,6 +32,7 @@
 	lateToDrained int
 	reverted      int
 	bytes         map[int]int64
+	byKind        map[string]int64
 	changed       []time.Time
 	openings      map[int]map[planner.TargetID]int
 	firstBroken   time.Duration
@@ -39,7 +40,7 @@
 }
 
 func newMeter() *meter {
-	return &meter{bytes: make(map[int]int64), openings: make(map[int]map[planner.TargetID]int)}
+	return &meter{bytes: make(map[int]int64), byKind: make(map[string]int64), openings: make(map[int]map[planner.TargetID]int)}
 }
 
 // begin forgets what starting has cost.
@@ -48,7 +49,11 @@
 	m.started = now
 }
 
-func (m *meter) control(from, size int) { m.bytes[from] += int64(size) }
+func (m *meter) control(from int, body any) {
+	size := int64(sizeOf(body) + headerBytes)
+	m.bytes[from] += size
+	m.byKind[kindOf(body)] += size
+}
 
 // judge holds a delivery against the promises.
 func (r *Run) judge(f *flow, target planner.TargetID) {
--- a/exerciser/network.go
+++ b/exerciser/network.go
@@ -7,6 +7,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"trefoilspring.example/trefoilspring/coordinator"
+	"trefoilspring.example/trefoilspring/detector"
 	"trefoilspring.example/trefoilspring/tracker"
 )
 
@@ -75,7 +76,7 @@
 	n.decider = r.way.New(Environment{
 		Self:        n.id,
 		Incarnation: n.life,
-		Break:       r.Break,
+		Break:       r.off,
 		Record:      r.plans.record,
 		Send: func(to tracker.MemberID, body any, reliable bool) {
 			if n.life == life {
@@ -87,7 +88,7 @@
 }
 
 func (r *Run) send(m message) {
-	r.meter.control(m.from, sizeOf(m.body)+headerBytes)
+	r.meter.control(m.from, m.body)
 	if _, asks := m.body.(question); asks {
 		// A request times out, also where its answer is lost.
 		r.fail(m)
@@ -170,6 +171,18 @@
 	})
 }
 
+// kindOf names what a message is for.
+func kindOf(body any) string {
+	switch body.(type) {
+	case detector.Message:
+		return "heartbeats"
+	case []tracker.Record:
+		return "records"
+	default:
+		return "requests"
+	}
+}
+
 func sizeOf(body any) int {
 	data, err := cbor.Marshal(body)
 	if err != nil {
--- a/exerciser/versioned.go
+++ b/exerciser/versioned.go
@@ -90,7 +90,9 @@
 	case detector.Message:
 		v.Heartbeat(now, m)
 	case []tracker.Record:
-		v.Learn(now, m)
+		if !v.env.Break.Records || v.State() != detector.Joining {
+			v.Learn(now, m)
+		}
 	case question:
 		v.env.Send(from, reply{Reply: v.Answer(now, from, m.Request), ask: m.ask}, true)
 	case reply:
@@ -124,8 +126,10 @@
 }
 
 func (v *versioned) Decide(now time.Time, q tracker.Query) Decision {
-	if !v.env.Break.Permission {
-		v.Refresh(now)
+	v.Refresh(now)
+	if v.env.Break.Permission {
+		// It believes what it believed before the pause.
+		v.Tracker().SetStale(false)
 	}
 	d := v.Coordinator.Decide(now, q)
 	v.perform(v.Actions())
--- a/tracker/member.go
+++ b/tracker/member.go
@@ -30,6 +30,9 @@
 	// Resolves is false for a balancer that is joining, leaving or suspected: it
 	// gets copies of records but no packets to resolve.
 	Resolves bool
+	// Asks is true for a balancer that is joining: it gets the records that are
+	// older than its request with the answer.
+	Asks bool
 	// Keeps is false for a balancer that is leaving.
 	Keeps bool
 }
@@ -40,6 +43,7 @@
 	resolvers [planner.Buckets]MemberID
 	keepers   [planner.Buckets][copiesOfRecord + 1]MemberID
 	members   int
+	asking    map[MemberID]bool
 }
 
 func slotOf(s planner.ServiceID, bucket int) int {
@@ -75,7 +79,12 @@
 }
 
 func newRanks(members []Member) ranks {
-	r := ranks{members: len(members)}
+	r := ranks{members: len(members), asking: make(map[MemberID]bool)}
+	for _, m := range members {
+		if m.Asks {
+			r.asking[m.ID] = true
+		}
+	}
 	for slot := range planner.Buckets {
 		r.rank(slot, members)
 	}
@@ -170,7 +179,7 @@
 			continue
 		}
 		for _, m := range t.ranks.keepersOf(slot, t.self) {
-			if !keeps(before, slot, m) {
+			if !keeps(before, slot, m) && !t.ranks.asking[m] {
 				t.copyTo(m, id, flow, r.target)
 			}
 		}
--- a/tracker/settler.go
+++ b/tracker/settler.go
@@ -80,6 +80,9 @@
 // copyAge is how many idle timeouts a copy is kept that is not renewed.
 const copyAge = 4
 
+// renewAge is after how many idle timeouts a resolver renews copies.
+const renewAge = 2
+
 // Expire forgets records of flows that sent nothing within their service's idle
 // timeout, and renews the copies of the others. It is to be called every second
 // or so.
@@ -103,7 +106,7 @@
 	switch {
 	case seconds(now)-r.seen > limit || (s.tracked[index] == nil && seconds(now)-r.seen > plainAge):
 		t.forget(s, flow, r)
-	case resolves && seconds(now)-r.copied > idle:
+	case resolves && seconds(now)-r.copied > idle*renewAge:
 		r.copied = seconds(now)
 		s.records[flow] = r
 		t.copyToKeepers(id, index, flow, r.target)
--- a/tracker/snapshot.go
+++ b/tracker/snapshot.go
@@ -1,6 +1,7 @@
 package tracker
 
 import (
+	"slices"
 	"time"
 
 	"trefoilspring.example/trefoilspring/planner"
@@ -44,6 +45,19 @@
 	Fresh    []FreshState   `cbor:"fresh"`
 }
 
+// SnapshotFor returns what another balancer needs: the records that it is to keep
+// alone.
+func (t *Tracker) SnapshotFor(now time.Time, m MemberID) Snapshot {
+	snap := t.Snapshot(now)
+	for i := range snap.Services {
+		s := &snap.Services[i]
+		s.Records = slices.DeleteFunc(s.Records, func(f FlowState) bool {
+			return !keeps(&t.ranks, slotOf(s.Service, planner.BucketOf(f.Flow)), m)
+		})
+	}
+	return snap
+}
+
 // Snapshot returns the tracked state of this balancer.
 func (t *Tracker) Snapshot(now time.Time) Snapshot {
 	var snap Snapshot
