--- a/test/main_test.go
+++ b/test/main_test.go
@@ -22,6 +22,9 @@
 var binaries string
 
 func TestMain(m *testing.M) {
+	if name := os.Getenv(candidateVariable); name != "" {
+		os.Exit(runCandidate(name))
+	}
 	os.Exit(runTests(m))
 }
 
