--- a/publisher/root.go
+++ b/publisher/root.go
@@ -13,7 +13,7 @@
 	// inlineBytes is the largest encoded document that a root holds itself.
 	inlineBytes = 8 << 10
 	// windowBytes bounds the patches that a root carries.
-	windowBytes = 8 << 10
+	windowBytes = 4 << 10
 	// snapshotBytes is the size of the patches after which a snapshot is written
 	// anew. It is less than windowBytes, so that the patches since the snapshot
 	// are always in the window.
--- a/publisher/scale_test.go
+++ b/publisher/scale_test.go
@@ -111,6 +111,25 @@
 	is.Equal(source, publisher.FromSnapshot)
 }
 
+// The root doesn't grow with the number of changes.
+func TestRootIsBounded(t *testing.T) {
+	is := is.New(t)
+	store, _ := newStore(t)
+	p := publisher.New(store, "ops")
+	d := largeDocument(200, 20)
+	largest := 0
+	for n := range 200 {
+		d = withWeight(d, n, 2+n%90)
+		_, err := p.Publish(t.Context(), publisher.Proposal{Document: d})
+		is.NoErr(err)
+		entry, err := store.Get(t.Context(), publisher.DocumentKey)
+		is.NoErr(err)
+		largest = max(largest, len(entry.Value()))
+	}
+	t.Logf("largest root: %d bytes", largest)
+	is.True(largest < 12<<10)
+}
+
 // A change that is too large for the window is read from a new snapshot.
 func TestLargeChangeWritesSnapshot(t *testing.T) {
 	is := is.New(t)
--- a/relayer/bench_test.go
+++ b/relayer/bench_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"trefoilspring.example/trefoilspring/relayer"
 	"trefoilspring.example/trefoilspring/standin/keeper"
 )
 
@@ -19,6 +20,8 @@
 	// steadyChanges and burstChanges are the numbers of changes measured.
 	steadyChanges = 8
 	burstChanges  = 20
+	// changeInterval is the time between two steady changes.
+	changeInterval = 24 * time.Hour / changesPerDay / speedUp
 )
 
 func ports(first byte, n int, port uint16) []netip.AddrPort {
@@ -31,17 +34,26 @@
 func BenchmarkFleet(b *testing.B) {
 	for _, n := range []int{13, 20, 40, 76} {
 		b.Run(fmt.Sprintf("steady/balancers=%d", n), func(b *testing.B) {
-			interval := 24 * time.Hour / changesPerDay / speedUp
-			benchmarkChanges(b, n, steadyChanges, interval)
+			benchmarkChanges(b, startFleet(b, n), steadyChanges, changeInterval)
 		})
 	}
 	b.Run("burst/balancers=76", func(b *testing.B) {
-		benchmarkChanges(b, 76, burstChanges, 0)
+		benchmarkChanges(b, startFleet(b, 76), burstChanges, 0)
 	})
 }
 
-func benchmarkChanges(b *testing.B, n, changes int, interval time.Duration) {
-	f := startFleet(b, n, time.Minute)
+// BenchmarkAllWatch measures the same if each balancer watches by itself.
+func BenchmarkAllWatch(b *testing.B) {
+	for _, n := range []int{13, 76} {
+		b.Run(fmt.Sprintf("balancers=%d", n), func(b *testing.B) {
+			alone := func(id string) []relayer.Member { return []relayer.Member{{ID: id}} }
+			benchmarkChanges(b, startFleetOf(b, members(n), alone), steadyChanges, changeInterval)
+		})
+	}
+}
+
+func benchmarkChanges(b *testing.B, f *fleet, changes int, interval time.Duration) {
+	b.Helper()
 	d := fleetDocument(aimTargets)
 	f.await(b, f.publish(b, d))
 	for b.Loop() {
--- a/relayer/fleet_test.go
+++ b/relayer/fleet_test.go
@@ -42,22 +42,29 @@
 	cut       map[string]bool
 }
 
-// startFleet starts n balancers with one waiting watch each call of wait.
-func startFleet(t testing.TB, n int, wait time.Duration) *fleet {
+// startFleet starts n balancers, whose watches wait for a minute.
+func startFleet(t testing.TB, n int) *fleet {
+	t.Helper()
+	list := members(n)
+	return startFleetOf(t, list, func(string) []relayer.Member { return list })
+}
+
+// startFleetOf starts balancers, of which each sees the peers that view returns.
+func startFleetOf(t testing.TB, list []relayer.Member, view func(id string) []relayer.Member) *fleet {
 	t.Helper()
 	k := keeper.New()
 	api := httptest.NewServer(k.API())
 	f := &fleet{
-		keeper: k, store: platform.New(api.URL), daemons: map[string]*daemon{}, list: members(n), cut: map[string]bool{},
+		keeper: k, store: platform.New(api.URL), daemons: map[string]*daemon{}, list: list, cut: map[string]bool{},
 	}
 	f.publisher = publisher.New(f.store, "ops")
 	ctx, cancel := context.WithCancel(context.Background())
 	var group errgroup.Group
 	for _, member := range f.list {
-		f.daemons[member.ID] = f.newDaemon(member.ID, api.URL, wait)
+		f.daemons[member.ID] = f.newDaemon(member.ID, api.URL)
 	}
-	for _, d := range f.daemons {
-		d.relay.SetMembers(f.list)
+	for id, d := range f.daemons {
+		d.relay.SetMembers(view(id))
 		group.Go(func() error { return d.relay.Run(ctx) })
 	}
 	t.Cleanup(func() {
@@ -69,9 +76,8 @@
 	return f
 }
 
-func (f *fleet) newDaemon(id, address string, wait time.Duration) *daemon {
+func (f *fleet) newDaemon(id, address string) *daemon {
 	d := &daemon{watcher: watcher.New(platform.New(address))}
-	d.watcher.Wait = wait
 	d.watcher.OnDocument = func(r publisher.Record) {
 		d.tookAt.Store(time.Now().UnixNano())
 		d.inForce.Store(r.Revision)
@@ -159,7 +165,7 @@
 // cut off meanwhile.
 func TestPeersAreTold(t *testing.T) {
 	is := is.New(t)
-	f := startFleet(t, 13, time.Minute)
+	f := startFleet(t, 13)
 	d := fleetDocument(300)
 	f.await(t, f.publish(t, d))
 	before := f.keeper.Calls()
@@ -182,7 +188,7 @@
 // whole document from a peer.
 func TestNewcomerDuringOutage(t *testing.T) {
 	is := is.New(t)
-	f := startFleet(t, 13, time.Minute)
+	f := startFleet(t, 13)
 	newcomer := f.nonWatcher()
 	f.setCut(newcomer, true)
 	f.await(t, f.publish(t, fleetDocument(300)))
