--- /dev/null
+++ b/detector/example_test.go
@@ -0,0 +1,38 @@
+package detector_test
+
+import (
+	"fmt"
+	"time"
+
+	"trefoilspring.example/trefoilspring/detector"
+	"trefoilspring.example/trefoilspring/tracker"
+)
+
+// Two balancers hear each other; then one falls silent and is removed.
+func Example() {
+	now := time.Unix(1000, 0)
+	a, b := tracker.NewMemberID("lb-a"), tracker.NewMemberID("lb-b")
+	first, second := detector.New(a, 1), detector.New(b, 1)
+	first.SetContacts([]tracker.MemberID{b})
+	second.SetContacts([]tracker.MemberID{a})
+	for range 5 {
+		now = now.Add(detector.Interval)
+		for _, delivery := range first.Beat(now) {
+			second.Receive(now, delivery.Message())
+		}
+		for _, delivery := range second.Beat(now) {
+			first.Receive(now, delivery.Message())
+		}
+	}
+	fmt.Println("alive:", len(first.Members(now)), "permitted:", first.Permitted(now))
+
+	// The second one is frozen.
+	for range 10 {
+		now = now.Add(detector.Interval)
+		first.Beat(now)
+	}
+	fmt.Println("alive:", len(first.Members(now)), "second permitted:", second.Permitted(now))
+	// Output:
+	// alive: 1 permitted: true
+	// alive: 0 second permitted: false
+}
