Compare ways of flow affinity by a command

standin compare plays the same seeded trace through five ways and prints a table and JSON.

Full replication breaks flows where a balancer joins with empty memory.

--- a/Makefile
+++ b/Makefile
@@ -23,6 +23,8 @@
 
 bench: build
 	$(GO) test -run '^$$' -bench . -benchmem ./...
+	$(BIN)/standin compare --seed 1 --size today
+	$(BIN)/standin compare --seed 1 --size aim
 
 clean:
 	rm -rf $(BIN) out
--- a/exerciser/exerciser.go
+++ b/exerciser/exerciser.go
@@ -59,8 +59,8 @@
 // Small returns a size for tests of many traces.
 func Small(seed uint64) Size {
 	return Size{
-		Name: "small", Seed: seed, Balancers: 5, Targets: 6, LongFlows: 1200,
-		OpeningsPerSecond: 150, PacketsPerSecond: 1500, IdleTimeout: 8 * time.Second, Duration: 50 * time.Second,
+		Name: "small", Seed: seed, Balancers: 5, Targets: 6, LongFlows: 600,
+		OpeningsPerSecond: 100, PacketsPerSecond: 600, IdleTimeout: 8 * time.Second, Duration: 50 * time.Second,
 	}
 }
 
@@ -176,3 +176,6 @@
 	}
 	n.revision = revision
 }
+
+// Balancer returns a balancer and the time of the run, to measure decisions.
+func (r *Run) Balancer(index int) (Decider, time.Time) { return r.nodes[index].decider, r.now }
--- a/exerciser/trace.go
+++ b/exerciser/trace.go
@@ -143,3 +143,14 @@
 	}
 	return s
 }
+
+// TwoDeaths returns a trace in which two balancers die at the same time while
+// one target's flows are recorded.
+func TwoDeaths(size Size) Trace {
+	t := Single(size, Drain, "")
+	for i := range 2 {
+		t.Steps = append(t.Steps, Step{At: 15 * time.Second, Kind: Die, Balancer: i})
+	}
+	t.Name = string(Drain) + "+two-deaths"
+	return t
+}
--- a/standin/commands.go
+++ b/standin/commands.go
@@ -18,6 +18,7 @@
 		cmdLayout(),
 		cmdWait(),
 		cmdReport(),
+		cmdCompare(),
 		cmdCompareCapacity(),
 	}
 }
