--- a/standin/arranger/arranger.go
+++ b/standin/arranger/arranger.go
@@ -47,6 +47,8 @@
 	BasePort int
 	// Duration is how long the callers send.
 	Duration time.Duration
+	// Deadline is how long an attempt of a short request may take; 0 stands for 4 s.
+	Deadline time.Duration
 	// Balancers is the number of balancers; 0 stands for 13.
 	Balancers int
 	// BookingDesk and MenuPress are the numbers of targets of each service; 0
--- a/standin/arranger/standins.go
+++ b/standin/arranger/standins.go
@@ -78,7 +78,8 @@
 			Name: name, FabricAddress: p.port(fabricPort),
 			SourcePrefixes: []netip.Prefix{callerPrefix(n)},
 			Duration:       operator.Duration(p.Duration), Seed: p.Seed + uint64(n),
-			Journal: p.path("journals", name+".jsonl"),
+			Deadline: operator.Duration(p.Deadline),
+			Journal:  p.path("journals", name+".jsonl"),
 		}
 		for _, served := range p.services() {
 			s.Loads = append(s.Loads, requester.Load{
--- a/standin/cmd_layout.go
+++ b/standin/cmd_layout.go
@@ -24,6 +24,7 @@
 			&cli.IntFlag{Name: "extra-zones", Usage: "spread the extra services over so many zones, and serve one of them"},
 			&cli.IntFlag{Name: "extra-targets", Usage: "targets that nobody calls, spread over the extra services"},
 			&cli.DurationFlag{Name: "duration", Usage: "how long the callers send", Value: 24 * time.Second},
+			&cli.DurationFlag{Name: "deadline", Usage: "how long an attempt of a short request may take", Value: 4 * time.Second},
 			&cli.IntFlag{Name: "booking-desk", Usage: "targets of the service booking-desk", Value: 14},
 			&cli.IntFlag{Name: "menu-press", Usage: "targets of the service menu-press", Value: 4},
 			&cli.DurationFlag{Name: "drain", Usage: "how long a balancer that stops goes on forwarding", Value: 3 * time.Second},
@@ -35,7 +36,7 @@
 				ExtraZones: cmd.Int("extra-zones"),
 				Seed:       cmd.Uint64("seed"), BasePort: cmd.Int("base-port"), Duration: cmd.Duration("duration"),
 				BookingDesk: cmd.Int("booking-desk"), MenuPress: cmd.Int("menu-press"),
-				Drain: cmd.Duration("drain"),
+				Deadline: cmd.Duration("deadline"), Drain: cmd.Duration("drain"),
 			}.Write()
 		},
 	}
--- a/standin/requester/settings.go
+++ b/standin/requester/settings.go
@@ -16,8 +16,10 @@
 	SourcePrefixes []netip.Prefix    `json:"source-prefixes" validate:"min=1"`
 	Loads          []Load            `json:"loads" validate:"min=1,dive"`
 	Duration       operator.Duration `json:"duration" validate:"min=1"`
-	Seed           uint64            `json:"seed"`
-	Journal        string            `json:"journal" validate:"required"`
+	// Deadline is how long an attempt of a short request may take; 0 stands for 4 s.
+	Deadline operator.Duration `json:"deadline,omitzero" validate:"min=0"`
+	Seed     uint64            `json:"seed"`
+	Journal  string            `json:"journal" validate:"required"`
 }
 
 // Load is what callers ask of one service.
--- a/standin/requester/short.go
+++ b/standin/requester/short.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -18,7 +19,7 @@
 
 // Policy of short requests.
 const (
-	shortTimeout = 4 * time.Second
+	shortDeadline = 4 * time.Second
 	maxAttempts  = 2
 	retryBackoff = 100 * time.Millisecond
 	itemBytes    = 4 << 10
@@ -107,7 +108,7 @@
 		ID: id, Attempt: n, Service: load.Service, Kind: kind, Whole: true,
 		StartUnixMs: start.UnixMilli(),
 	}
-	ctx, cancel := context.WithTimeout(ctx, shortTimeout)
+	ctx, cancel := context.WithTimeout(ctx, cmp.Or(time.Duration(c.settings.Deadline), shortDeadline))
 	defer cancel()
 	f, err := c.dial(ctx, load.Address)
 	if f != nil {
