Put a revision in force sooner where a balancer was removed

A revision stays prepared for 2 s after the last balancer has prepared it, since that one forwarded openings by its earlier table until then. For a balancer that was removed the 2 s counted from the removal, 3 s after it was last heard; but it lost its permission to decide 2 s after that, and a resumed one drops what waited for it. The time now counts from there.

TestRemovedBalancerCountsFromItsLastDecision fails with the earlier rule.

--- a/activator/activator.go
+++ b/activator/activator.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"trefoilspring.example/trefoilspring/detector"
+	"trefoilspring.example/trefoilspring/tracker"
 )
 
 const (
@@ -35,8 +36,10 @@
 // works.
 type Activator struct {
 	revision uint64
-	since    time.Time
-	complete bool
+	// since is when the last balancer stopped to forward openings without a record.
+	since time.Time
+	// waited holds when the balancers that have not prepared were last heard.
+	waited map[tracker.MemberID]time.Time
 }
 
 // Allows reports whether the prepared revision may be put in force now. The
@@ -48,20 +51,37 @@
 		return true
 	}
 	if a.revision != revision {
-		*a = Activator{revision: revision}
+		*a = Activator{revision: revision, since: now}
 	}
+	a.look(now, members)
+	return len(a.waited) == 0 && now.Sub(a.since) >= RecordTime
+}
+
+// look notes which balancers are still waited for. One that has prepared since the
+// last look forwarded openings by its earlier table until now at the latest; one
+// that was removed has lost its permission some time ago.
+func (a *Activator) look(now time.Time, members []detector.Member) {
+	waited := make(map[tracker.MemberID]time.Time)
+	live := make(map[tracker.MemberID]bool)
 	for _, m := range members {
-		if !hasPrepared(m, revision) {
-			a.complete = false
-			return false
+		live[m.ID()] = true
+		if !hasPrepared(m, a.revision) {
+			waited[m.ID()] = m.Advanced()
 		}
 	}
-	// The last balancer to prepare forwarded openings without a record until then.
-	if !a.complete {
-		a.complete = true
-		a.since = now
+	for id, heard := range a.waited {
+		if _, still := waited[id]; still {
+			continue
+		}
+		end := now
+		if permitted := heard.Add(detector.PermitAge); !live[id] && permitted.Before(now) {
+			end = permitted
+		}
+		if end.After(a.since) {
+			a.since = end
+		}
 	}
-	return now.Sub(a.since) >= RecordTime
+	a.waited = waited
 }
 
 // activeElsewhere reports whether a balancer has found the revision prepared by
--- a/activator/activator_test.go
+++ b/activator/activator_test.go
@@ -50,3 +50,17 @@
 	}
 	is.True(a.Allows(now, 2, d.Members(now)))
 }
+
+// A removed balancer stopped to decide a second before it was removed; that time
+// counts.
+func TestRemovedBalancerCountsFromItsLastDecision(t *testing.T) {
+	is := is.New(t)
+	var a activator.Activator
+	heard := time.Unix(1000, 0)
+	is.True(!a.Allows(heard, 2, membersAt(heard, 1)))
+	removed := heard.Add(detector.RemoveAge + time.Millisecond)
+	is.True(!a.Allows(removed, 2, nil))
+	permitted := heard.Add(detector.PermitAge)
+	is.True(!a.Allows(permitted.Add(activator.RecordTime-time.Millisecond), 2, nil))
+	is.True(a.Allows(permitted.Add(activator.RecordTime), 2, nil))
+}
--- a/standin/requester/short.go
+++ b/standin/requester/short.go
@@ -20,9 +20,9 @@
 // Policy of short requests.
 const (
 	shortDeadline = 4 * time.Second
-	maxAttempts  = 2
-	retryBackoff = 100 * time.Millisecond
-	itemBytes    = 4 << 10
+	maxAttempts   = 2
+	retryBackoff  = 100 * time.Millisecond
+	itemBytes     = 4 << 10
 )
 
 // StatusError reports an answer that is neither an answer nor a refusal.
