--- a/server/server.go
+++ b/server/server.go
@@ -265,7 +265,7 @@
 
 // offer takes a document from the platform.
 func (s *Server) offer(r publisher.Record) {
-	encoded, err := publisher.Encode(r)
+	encoded, err := publisher.Pack(r)
 	if err != nil {
 		s.vars.Add("document-not-encoded", 1)
 		return
@@ -275,7 +275,7 @@
 }
 
 func decodeRecord(encoded []byte) (coordinator.Record, error) {
-	r, err := publisher.Decode(encoded)
+	r, err := publisher.Unpack(encoded)
 	if err != nil {
 		return coordinator.Record{}, err
 	}
