--- a/cmd_check_settings.go
+++ b/cmd_check_settings.go
@@ -35,7 +35,7 @@
 
 // String says the outcome in words.
 func (r checkedSettings) String() string {
-	return fmt.Sprintf("good: balancer %s in availability zone %s, %d peers\n", r.Name, r.AvailabilityZone, r.Peers)
+	return fmt.Sprintf("good: balancer %s in availability zone %s, peers: %d\n", r.Name, r.AvailabilityZone, r.Peers)
 }
 
 func checkSettings(c *cli.Command) error {
--- a/server/explain.go
+++ b/server/explain.go
@@ -87,6 +87,8 @@
 func (s *Server) explain(now time.Time, q flowQuery) Explanation {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	// As before each batch of packets: without any, nobody has looked.
+	s.coordinator.Refresh(now)
 	id := s.coordinator.Service(q.service)
 	query := tracker.Query{Service: id, Flow: parser.FlowOf(q.source, q.service, q.tcp)}
 	established := s.coordinator.Tracker().Explain(now, query)
