Drop a connection on which a request got no answer

Its peers had ended the idle connections. On its own side the acknowledgments that waited in the socket gave round-trip times of 10 s, and QUIC keeps an idle connection for three probe timeouts, so it wrote into dead connections for more than 13 s (logs: streams 4 to 16 of one connection, each cancelled after 3 s). Ruled out: heartbeats (all members seen) and the donors (they never saw the request). A smaller idle timeout doesn't help: the probe timeout overrides it. Conclusion: the next request dials anew, and so do heartbeats.

--- a/peer/events.go
+++ b/peer/events.go
@@ -3,6 +3,7 @@
 // Events returns the names that Count is called with.
 func Events() []string {
 	return []string{
+		"connection-dropped",
 		"dial-failed",
 		"forged-sender",
 		"handshake-refused",
--- a/peer/link.go
+++ b/peer/link.go
@@ -248,3 +248,11 @@
 	}
 	return conn
 }
+
+// drop ends a connection on which a request got no answer, so that the next one
+// dials anew. After a pause of the process, the round-trip time that QUIC measured
+// over the pause would keep a dead connection open for minutes.
+func (l *link) drop(conn *quic.Conn) {
+	l.node.Count("connection-dropped", 1)
+	_ = conn.CloseWithError(goodbye, "")
+}
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -219,3 +219,29 @@
 	_, err := peer.LoadIdentity(peer.Files{Certificate: "missing.pem", Key: "missing.key", Authority: "missing.pem"})
 	is.True(err != nil)
 }
+
+func TestUnansweredRequestDropsItsConnection(t *testing.T) {
+	is := is.New(t)
+	a := authority(t)
+	left, right := contactOf(t, "lb-1"), contactOf(t, "lb-2")
+	identity, err := peer.LoadIdentity(filesOf(t, a, a, issuer.Subject{Name: "lb-2"}))
+	is.NoErr(err)
+	silent := make(chan struct{})
+	n := peer.New(right, identity, nil)
+	n.OnRequest = func(tracker.MemberID, coordinator.Request) coordinator.Reply {
+		<-silent
+		return coordinator.Reply{}
+	}
+	run(t, n)
+	sender, counts := start(t, left, filesOf(t, a, a, issuer.Subject{Name: "lb-1"}), right)
+	for begin := time.Now(); counts.get("connection-dropped") == 0 && time.Since(begin) < 5*time.Second; {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		_, err = sender.Ask(ctx, right.ID(), coordinator.Request{Join: true})
+		cancel()
+		is.True(err != nil)
+	}
+	is.True(counts.get("connection-dropped") > 0)
+	close(silent)
+	_, err = ask(sender, right)
+	is.NoErr(err)
+}
--- a/peer/request.go
+++ b/peer/request.go
@@ -98,6 +98,7 @@
 	}
 	encoded, err := exchange(ctx, conn, data)
 	if err != nil {
+		l.drop(conn)
 		return a.Reply, errors.Wrapf(err, "asking the peer %s", l.contact.Name)
 	}
 	if err := cbor.Unmarshal(encoded, &a); err != nil {
