Let one part at most of a divided group use limits

Cause: in a group that is cut in two each part agrees with itself, and both used the growth of the same shares. Ruled out: a majority of the configured balancers, since contacts are never forgotten and a group whose VMs were replaced would lose it for good. Chosen: dynamic linear voting on the sets of ready balancers.

--- a/coordinator/action.go
+++ b/coordinator/action.go
@@ -71,6 +71,8 @@
 	Snapshot *tracker.Snapshot `cbor:"snapshot,omitempty"`
 	// Notes are the notes of targets that a joining balancer must hold.
 	Notes []detector.Note `cbor:"notes,omitempty"`
+	// Holders are the balancers with which shares of limits were last used.
+	Holders []tracker.MemberID `cbor:"holders,omitempty"`
 	// Settled holds one answer for each settlement.
 	Settled []bool `cbor:"settled,omitempty"`
 }
--- a/coordinator/health.go
+++ b/coordinator/health.go
@@ -24,28 +24,45 @@
 	downHoldOff = 10 * time.Second
 )
 
+// The bits of a digest that say what the limiter of the balancer says of the
+// holders; the others are the digest of holders and notes.
+const (
+	majorityBit = 1 << iota
+	agreedBit
+	limiterBits = majorityBit | agreedBit
+)
+
 // agreement is what this balancer must have in common with all live ones before
-// it holds openings back or uses its shares of limits.
+// it holds openings back or, with a majority everywhere, uses its shares of limits.
 type agreement struct {
-	digest uint32
-	agreed bool
-	since  time.Time
+	digest   uint32
+	same     bool
+	majority bool
+	agreed   bool
+	since    time.Time
 }
 
 // update takes the digests of this and the other live balancers.
 func (a *agreement) update(now time.Time, digest uint32, members []detector.Member) {
-	agreed := !slices.ContainsFunc(members, func(m detector.Member) bool { return m.Digest() != digest })
-	if agreed != a.agreed || digest != a.digest {
+	same, majority, agreed := true, digest&majorityBit != 0, true
+	for _, m := range members {
+		same = same && m.Digest()|limiterBits == digest|limiterBits
+		if m.State() != detector.Ready {
+			continue // It holds no share.
+		}
+		majority = majority && m.Digest()&majorityBit != 0
+		agreed = agreed && m.Digest()&agreedBit != 0
+	}
+	if same != a.same || digest|limiterBits != a.digest|limiterBits {
 		a.since = now
 	}
-	a.agreed = agreed
-	a.digest = digest
+	*a = agreement{digest: digest, same: same, majority: majority, agreed: agreed, since: a.since}
 }
 
 // settled reports whether the agreement is old enough for an opening that is sent
 // again to have been dropped, like its first copy.
 func (a *agreement) settled(now time.Time) bool {
-	return a.agreed && now.Sub(a.since) >= activator.PrepareTime
+	return a.same && now.Sub(a.since) >= activator.PrepareTime
 }
 
 // agree compares the holders of shares and the notes with those of all others.
@@ -55,12 +72,18 @@
 	holders := limiter.Holders(c.self, ready, members)
 	notes := c.spread(now)
 	key := binary.BigEndian.AppendUint32(nil, limiter.Digest(holders))
-	digest := digestOf(c.appendNotes(key, notes))
+	c.limiter.SetHolders(now, holders)
+	digest := digestOf(c.appendNotes(key, notes)) &^ limiterBits
+	if c.limiter.Majority(now) {
+		digest |= majorityBit
+	}
+	if c.limiter.Agreed() {
+		digest |= agreedBit
+	}
 	c.detector.SetDigest(digest)
 	c.detector.SetNotes(notes)
 	c.agreement.update(now, digest, members)
-	c.limiter.SetHolders(now, holders)
-	c.limiter.SetAgreed(now, ready && c.agreement.agreed)
+	c.limiter.SetAgreed(now, ready && c.agreement.same && c.agreement.majority, c.agreement.agreed)
 	c.tracker.SetNoted(c.holds(), c.agreement.settled(now))
 }
 
--- a/coordinator/joiner.go
+++ b/coordinator/joiner.go
@@ -72,6 +72,7 @@
 			snapshots = append(snapshots, *reply.Snapshot)
 		}
 		c.takeNotes(now, reply.Notes)
+		c.limiter.Inherit(now, reply.Holders)
 	}
 	if active == nil {
 		return
@@ -136,6 +137,7 @@
 		c.answered[from] = true
 		c.updateMembers(now)
 		reply.Notes = c.spread(now)
+		reply.Holders = c.limiter.Last()
 		c.Note("handed state to a joining balancer", "records", c.tracker.Records())
 	}
 	for _, settlement := range r.Settlements {
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -9,13 +9,14 @@
 // share that changes hands carries over nothing: the new holder gets only what the
 // limit grows by from then on, since the earlier one may have used all the rest.
 // So the sum over all balancers never exceeds the limit, whoever dies, joins or
-// freezes, and limits smaller than the number of balancers remain usable.
+// freezes, and limits smaller than the number of balancers remain usable. Where a
+// group is cut in two, one part at most goes on: see Majority.
 //
 // # Usage
 //
 //	l := limiter.New(self)
 //	l.SetHolders(now, limiter.Holders(self, ready, members))
-//	l.SetAgreed(now, agreed)
+//	l.SetAgreed(now, same, agreed)
 //	l.Start(now, target, ramp) // before any balancer opens a flow on it
 //	if l.Take(now, target, service.ColdStart(), age) {
 //		…
@@ -50,6 +51,7 @@
 	holders []tracker.MemberID
 	changed time.Time
 	acting  bool
+	history history
 	targets map[planner.TargetID]*limit
 }
 
@@ -107,17 +109,27 @@
 	l.holders = slices.Clone(ids)
 	l.changed = now
 	l.acting = false
+	majority := l.Majority(now)
 	for target, m := range l.targets {
+		if !majority {
+			m.held = nil // Others may hold these shares by now.
+		}
 		m.held = l.hold(target, m.held)
 	}
 }
 
-// SetAgreed says whether all live balancers report the same holders now.
-func (l *Limiter) SetAgreed(now time.Time, agreed bool) {
-	l.acting = agreed && now.Sub(l.changed) >= detector.RemoveAge
+// SetAgreed says whether all live balancers report the same holders now and have
+// a Majority, and whether all the others have Agreed.
+func (l *Limiter) SetAgreed(now time.Time, same, agreed bool) {
+	settled := same && now.Sub(l.changed) >= detector.RemoveAge
+	if settled {
+		l.noteView(now)
+	}
+	l.acting = settled && agreed
 	if !l.acting {
 		return
 	}
+	l.useView(now)
 	for _, m := range l.targets {
 		m.use(now)
 	}
--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -18,6 +18,10 @@
 	ramp = 30 * time.Second
 	// rampGrowth is by how many first limits a limit grows over its ramp.
 	rampGrowth = 99
+	// The flags of a digest, as the coordinator has them.
+	majority = 1
+	agreed   = 2
+	flags    = majority | agreed
 )
 
 var target = planner.NewTargetID("bd-01")
@@ -27,11 +31,13 @@
 	id      tracker.MemberID
 	beats   *detector.Detector
 	limits  *limiter.Limiter
-	joined  time.Time
+	first   bool
+	joined  bool
 	fresh   time.Time
 	dead    bool
 	frozen  bool
 	deafTo  tracker.MemberID
+	side    int
 	started bool
 }
 
@@ -48,16 +54,16 @@
 func newGroup(n, flows int) *group {
 	g := &group{now: time.Unix(1000, 0), flows: flows}
 	for range n {
-		g.join()
+		g.join().first = true
 	}
 	g.run(10 * time.Second)
 	return g
 }
 
-func (g *group) join() {
+func (g *group) join() *balancer {
 	id := tracker.MemberID(len(g.balancers) + 1)
 	g.balancers = append(g.balancers, &balancer{
-		id: id, beats: detector.New(id, 1), limits: limiter.New(id), joined: g.now,
+		id: id, beats: detector.New(id, 1), limits: limiter.New(id),
 	})
 	var ids []tracker.MemberID
 	for _, b := range g.balancers {
@@ -66,6 +72,21 @@
 	for _, b := range g.balancers {
 		b.beats.SetContacts(ids)
 	}
+	return g.balancers[id-1]
+}
+
+// handOver gives a joining balancer the state of a ready one that it can reach.
+func (g *group) handOver(b *balancer) bool {
+	for _, m := range b.beats.Members(g.now) {
+		donor := g.balancers[m.ID()-1]
+		if b.joined || m.State() != detector.Ready || donor.dead || donor.frozen || donor.side != b.side {
+			continue
+		}
+		b.joined = true
+		b.fresh = donor.fresh
+		b.limits.Inherit(g.now, donor.limits.Last())
+	}
+	return b.joined
 }
 
 func (g *group) run(d time.Duration) {
@@ -84,7 +105,7 @@
 		g.take(b) // What it believed before it heard anything.
 		for _, d := range b.beats.Beat(g.now) {
 			to := g.balancers[d.To()-1]
-			if !to.dead && !to.frozen && to.deafTo != b.id {
+			if !to.dead && !to.frozen && to.deafTo != b.id && to.side == b.side {
 				to.beats.Receive(g.now, d.Message())
 				g.update(to)
 			}
@@ -100,7 +121,7 @@
 
 func (g *group) update(b *balancer) {
 	permitted := b.beats.Permitted(g.now)
-	ready := permitted && g.now.Sub(b.joined) > 2*time.Second
+	ready := permitted && (b.first || g.handOver(b))
 	b.beats.SetState(detector.Joining)
 	if ready {
 		b.beats.SetState(detector.Ready)
@@ -108,13 +129,23 @@
 	members := b.beats.Members(g.now)
 	holders := limiter.Holders(b.id, ready, members)
 	b.limits.SetHolders(g.now, holders)
-	digest := limiter.Digest(holders)
+	digest := limiter.Digest(holders) &^ flags
+	if b.limits.Majority(g.now) {
+		digest |= majority
+	}
+	if b.limits.Agreed() {
+		digest |= agreed
+	}
 	b.beats.SetDigest(digest)
-	agreed := true
+	same, all := ready && digest&majority != 0, true
 	for _, m := range members {
-		agreed = agreed && m.Digest() == digest
+		same = same && m.Digest()|flags == digest|flags
+		if m.State() == detector.Ready {
+			same = same && m.Digest()&majority != 0
+			all = all && m.Digest()&agreed != 0
+		}
 	}
-	b.limits.SetAgreed(g.now, agreed)
+	b.limits.SetAgreed(g.now, same, all)
 	if g.careless && b.started && ready {
 		// The rule is off: a new holder begins with the whole share.
 		b.limits.Stop(target)
@@ -145,6 +176,16 @@
 	}
 }
 
+// cut separates the first n balancers from the others; 0 heals.
+func (g *group) cut(n int) {
+	for i, b := range g.balancers {
+		b.side = 0
+		if i < n {
+			b.side = 1
+		}
+	}
+}
+
 func (g *group) limit() float64 {
 	grown := float64(g.flows) * rampGrowth * float64(g.now.Sub(g.freshAt)) / float64(ramp)
 	return float64(g.flows) + grown
@@ -162,12 +203,13 @@
 				b.dead = true
 			case 1:
 				g.join()
-				joined := g.balancers[len(g.balancers)-1]
-				joined.fresh = g.now // Known by the state that it took over.
 			case 2, 3:
 				b.frozen = !b.frozen
 			case 4:
 				b.deafTo = tracker.MemberID(rapid.IntRange(0, len(g.balancers)).Draw(t, "deaf-to"))
+			case 5:
+				g.cut(rapid.IntRange(0, len(g.balancers)).Draw(t, "cut-at"))
+				g.run(time.Duration(rapid.IntRange(0, 15).Draw(t, "cut-seconds")) * time.Second)
 			}
 			g.step()
 			if float64(g.taken) > g.limit() {
@@ -211,3 +253,19 @@
 	g.run(time.Second)
 	is.True(float64(g.taken) > g.limit())
 }
+
+func TestGroupCutInTwoStaysWithinTheLimit(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(13, 40)
+	g.start()
+	g.run(2 * time.Second)
+	g.cut(6)
+	g.run(10 * time.Second)
+	before := g.taken
+	g.run(10 * time.Second)
+	is.True(g.taken > before) // The larger part goes on.
+	is.True(float64(g.taken) <= g.limit())
+	g.cut(0)
+	g.run(5 * time.Second)
+	is.True(float64(g.taken) <= g.limit())
+}
