--- a/test/health_test.go
+++ b/test/health_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -19,9 +20,13 @@
 )
 
 const (
-	healthBasePort = 28000
-	killedTarget   = "bd-03"
-	coldTarget     = "bd-05"
+	killedTarget = "bd-03"
+	coldTarget   = "bd-05"
+	// Deployments use ranges of ports, as the sessions of test/faults do; the last
+	// port of a range is held by the test that uses it.
+	firstPort  = 12000
+	portsEach  = 400
+	portRanges = 40
 	// avoidTime is how long new flows may go to a dead target.
 	avoidTime = 5 * time.Second
 	// coldTime is how long the target that turns cold takes to bear 100 times
@@ -38,6 +43,7 @@
 type deployment struct {
 	t         *testing.T
 	out       string
+	base      int
 	processes map[string]*exec.Cmd
 	collected []journal.Entry
 }
@@ -92,8 +98,8 @@
 // deploy starts everything but the callers. The operators' ramp keeps 20 flows
 // below what the target bears that turns cold; all others are warm at once.
 func deploy(t *testing.T) *deployment {
-	d := &deployment{t: t, out: t.TempDir(), processes: make(map[string]*exec.Cmd)}
-	d.run("standin", "layout", "--out", d.out, "--base-port", fmt.Sprint(healthBasePort),
+	d := &deployment{t: t, out: t.TempDir(), base: claimPorts(t), processes: make(map[string]*exec.Cmd)}
+	d.run("standin", "layout", "--out", d.out, "--base-port", fmt.Sprint(d.base),
 		"--streams", "1600", "--rate", "60", "--duration", "14s")
 	d.edit("operators/20-services.json", func(v map[string]any) {
 		desk := v["services"].(map[string]any)["booking-desk"].(map[string]any)
@@ -121,11 +127,27 @@
 	return d
 }
 
+// claimPorts returns the first of portsEach ports that are this test's until it ends.
+func claimPorts(t *testing.T) int {
+	t.Helper()
+	for i := range portRanges {
+		base := firstPort + (os.Getpid()+i)%portRanges*portsEach
+		guard, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", base+portsEach-1))
+		if err != nil {
+			continue
+		}
+		t.Cleanup(func() { _ = guard.Close() })
+		return base
+	}
+	t.Fatal("no free ports")
+	return 0
+}
+
 // apply sends the operators' folder to the platform.
 func (d *deployment) apply() {
 	d.t.Helper()
 	d.run("trefoilspring", "apply", "--folder", filepath.Join(d.out, "operators"),
-		"--platform", fmt.Sprintf("http://127.0.0.1:%d", healthBasePort))
+		"--platform", fmt.Sprintf("http://127.0.0.1:%d", d.base))
 }
 
 // finish waits for the callers, ends all other processes and reads the journals.
