--- a/limiter/example_test.go
+++ b/limiter/example_test.go
@@ -22,7 +22,7 @@
 		l := limiter.New(self)
 		l.SetHolders(now, ids)
 		agreedAt := now.Add(detector.RemoveAge)
-		l.SetAgreed(agreedAt, true)
+		l.SetAgreed(agreedAt, true, true)
 		l.Start(agreedAt, target, time.Duration(coldStart.Ramp))
 		// At age 0 the limit has not grown yet.
 		for l.Take(agreedAt, target, coldStart, 0) {
