Let one balancer start a group, with one document

Cause: balancers that started at once each put in force whatever document they had by then; two of them could hold different tables with no tracked bucket between them. Now the first in order starts after it has listened for three intervals, the others join it, and joining balancers tell each other of later documents. Each next one waits 3 s longer, in case the first can't start.

Where all have lost their permission at once, each goes on as before.

A fetch of a document asks another peer after each try: the path to the first one that knows it may be cut.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -75,6 +75,7 @@
 	notes     map[planner.TargetID]heldNote
 	lost      map[tracker.MemberID]bool
 	copiedAt  time.Time
+	vacantAt  time.Time
 	answered  map[tracker.MemberID]bool
 	agreement agreement
 	activator activator.Activator
--- a/coordinator/documents.go
+++ b/coordinator/documents.go
@@ -69,12 +69,17 @@
 	if c.offered != nil {
 		known = max(known, c.offered.Revision)
 	}
+	var knowing []tracker.MemberID
 	for _, m := range c.detector.Members(now) {
 		if m.Prepared() > known && !m.Suspect() {
-			c.start(&c.fetch, []tracker.MemberID{m.ID()}, Request{Document: true})
-			return
+			knowing = append(knowing, m.ID())
 		}
 	}
+	if len(knowing) > 0 {
+		// The path to one of them may be cut.
+		next := int(c.lastRound) % len(knowing)
+		c.start(&c.fetch, knowing[next:next+1], Request{Document: true})
+	}
 }
 
 func (c *Coordinator) fetched(now time.Time) {
--- a/coordinator/joiner.go
+++ b/coordinator/joiner.go
@@ -14,7 +14,9 @@
 	}
 	donors := c.donors(now)
 	if len(donors) == 0 {
-		c.bootstrap(now)
+		if c.mayBootstrap(now) {
+			c.bootstrap(now)
+		}
 		return
 	}
 	c.start(&c.join, donors, Request{Join: true})
@@ -95,7 +97,7 @@
 // behind reports whether a live balancer has prepared a later revision.
 func (c *Coordinator) behind(now time.Time) bool {
 	for _, m := range c.detector.Members(now) {
-		if m.Prepared() > c.Revision() {
+		if m.State() != detector.Joining && m.Prepared() > c.Revision() {
 			return true
 		}
 	}
@@ -126,7 +128,7 @@
 	reply := Reply{State: c.detector.State()}
 	if r.Join || r.Document {
 		reply.Active = encodedOf(c.active)
-		reply.Prepared = encodedOf(c.prepared)
+		reply.Prepared = encodedOf(newer(c.prepared, c.offered))
 	}
 	if r.Join {
 		// From here on, the joining balancer gets copies of what is recorded.
--- a/coordinator/ticker.go
+++ b/coordinator/ticker.go
@@ -50,7 +50,12 @@
 	if p := c.tracker.Active(); p != nil {
 		active = p.Revision()
 	}
-	c.detector.SetRevisions(active, c.Revision())
+	latest := c.Revision()
+	if c.offered != nil && c.detector.State() == detector.Joining {
+		// It is not prepared, but others may ask for it.
+		latest = max(latest, c.offered.Revision)
+	}
+	c.detector.SetRevisions(active, latest)
 }
 
 // updateMembers gives the tracker the live balancers, if they changed.
