Report the quality of service while a zone leaves and returns

Ruled out: a tool of its own; the report already reads the journals. Conclusion: the demo's last line has quality-by-phase: before, out, after.

--- a/standin/auditor/auditor.go
+++ b/standin/auditor/auditor.go
@@ -56,8 +56,10 @@
 	Imbalance           float64 `json:"imbalance-max-over-mean"`
 	Collapses           int     `json:"collapses"`
 	// Unheard says that targets left no trace of any packet.
-	Unheard bool   `json:"unheard"`
-	Seed    uint64 `json:"seed"`
+	Unheard bool `json:"unheard"`
+	// Qualities tells how short requests fared while a zone left and returned.
+	Qualities []Quality `json:"quality-by-phase,omitempty"`
+	Seed      uint64    `json:"seed"`
 }
 
 // Judge sums and judges a run.
@@ -92,6 +94,7 @@
 		v.DuplicateRuns += n - 1
 	}
 	v.Imbalance = imbalance(in)
+	v.Qualities = Qualities(in)
 	return v
 }
 
