Spread notes in small groups too, and settle no bucket that others know as busy

In a group of up to 5 all heartbeats are whole tables, which carried no notes, so only the probing balancers knew. Tables now carry notes where lines are free. 2. The digest left out notes that had ended, so balancers that had missed one agreed again without having tracked its buckets. All notes count now, ended ones too. 3. A target that is back, but still within a ramp, spilled openings over without asking for the agreement. 4.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -194,7 +194,7 @@
 	if !fresh {
 		return true
 	}
-	if n := c.notes[target]; n.applies() && !c.tracker.Held(target) {
+	if c.applies(now, c.notes[target]) && !c.tracker.Held(target) {
 		return true // So many targets are cold that none of them is held back.
 	}
 	if c.tracker.Stale() {
--- a/coordinator/health.go
+++ b/coordinator/health.go
@@ -73,7 +73,7 @@
 	notes := c.spread(now)
 	key := binary.BigEndian.AppendUint32(nil, limiter.Digest(holders))
 	c.limiter.SetHolders(now, holders)
-	digest := digestOf(c.appendNotes(key, notes)) &^ limiterBits
+	digest := digestOf(appendNotes(key, notes)) &^ limiterBits
 	if c.limiter.Majority(now) {
 		digest |= majorityBit
 	}
@@ -84,7 +84,7 @@
 	c.detector.SetNotes(notes)
 	c.agreement.update(now, digest, members)
 	c.limiter.SetAgreed(now, ready && c.agreement.same && c.agreement.majority, c.agreement.agreed)
-	c.tracker.SetNoted(c.holds(), c.agreement.settled(now))
+	c.tracker.SetNoted(c.holds(now), c.agreement.settled(now))
 }
 
 // ToProbe returns the targets that this balancer probes, in order.
--- a/coordinator/health_test.go
+++ b/coordinator/health_test.go
@@ -53,6 +53,7 @@
 	started map[planner.TargetID]time.Time
 	down    map[planner.TargetID]bool
 	cut     map[int]bool
+	frozen  map[int]bool
 }
 
 func newFleet(n int) *fleet {
@@ -61,6 +62,7 @@
 		started: make(map[planner.TargetID]time.Time),
 		down:    make(map[planner.TargetID]bool),
 		cut:     make(map[int]bool),
+		frozen:  make(map[int]bool),
 	}
 	for range n {
 		f.add(n)
@@ -89,6 +91,9 @@
 	for end := f.now.Add(d); f.now.Before(end); {
 		f.now = f.now.Add(detector.Interval)
 		for i, c := range f.all {
+			if f.frozen[i] {
+				continue
+			}
 			f.perform(i, c.Tick(f.now))
 			f.probe(c)
 			f.perform(i, c.Actions())
@@ -119,13 +124,17 @@
 		to := f.all[at]
 		switch a.Kind() {
 		case coordinator.SendHeartbeat:
-			if !f.cut[from] && !f.cut[at] {
+			if !f.cut[from] && !f.cut[at] && !f.frozen[at] {
 				to.Heartbeat(f.now, a.Heartbeat())
 			}
 		case coordinator.SendRecords:
+			if f.frozen[at] {
+				f.all[from].Lost(a.To())
+				continue
+			}
 			to.Learn(f.now, a.Records())
 		case coordinator.SendRequest:
-			if f.cut[from] || f.cut[at] {
+			if f.cut[from] || f.cut[at] || f.frozen[at] {
 				f.all[from].Replied(f.now, a.Ask(), coordinator.Reply{}, false)
 				continue
 			}
@@ -146,6 +155,9 @@
 			return d.Target()
 		}
 		at = int(d.Member()) - 1
+		if f.frozen[at] {
+			return 0 // Lost; the sender sends it again.
+		}
 		q.Hops = d.Hops()
 	}
 }
@@ -154,6 +166,9 @@
 func (f *fleet) open(first uint64, n int) map[uint64]planner.TargetID {
 	opened := make(map[uint64]planner.TargetID)
 	for i := range n {
+		if f.frozen[i%len(f.all)] {
+			continue
+		}
 		flow := (first + uint64(i)) * 0x9e3779b97f4a7c15
 		opened[flow] = f.send(i%len(f.all), flow, parser.MarkOpening)
 	}
--- a/coordinator/joiner.go
+++ b/coordinator/joiner.go
@@ -142,11 +142,12 @@
 		reply.Holders = c.limiter.Last()
 		c.Note("handed state to a joining balancer", "records", c.tracker.Records())
 	}
-	for _, settlement := range r.Settlements {
-		// A joining balancer may yet adopt an earlier state of the bucket.
-		agrees := reply.State != detector.Joining && c.tracker.Settle(now, settlement)
-		reply.Settled = append(reply.Settled, agrees)
+	if reply.State == detector.Joining {
+		// It may yet adopt an earlier state of the buckets.
+		reply.Settled = make([]bool, len(r.Settlements))
+		return reply
 	}
+	reply.Settled = c.tracker.SettleAll(now, r.Settlements)
 	return reply
 }
 
--- a/coordinator/notes.go
+++ b/coordinator/notes.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/binary"
+	"math"
 	"slices"
 	"time"
 
@@ -14,22 +15,24 @@
 	"trefoilspring.example/trefoilspring/tracker"
 )
 
-const (
-	// maxHeldNotes bounds the notes that peers can make a balancer hold.
-	maxHeldNotes = 16384
-	// spreadTime is how long a note that no longer applies is still sent.
-	spreadTime = time.Minute
-)
+// maxHeldNotes bounds the notes that peers can make a balancer hold.
+const maxHeldNotes = 16384
 
 // heldNote is the newest note of a target. It is kept after its end, so that an
 // older copy of it does not come back.
 type heldNote struct {
 	detector.Note
 	since time.Time
-	ended bool
 }
 
-func (n heldNote) applies() bool { return n.Condition != detector.Serving && !n.ended }
+// applies reports whether a note is in force: one of a cold target ends with its
+// ramp.
+func (c *Coordinator) applies(now time.Time, n heldNote) bool {
+	if n.Condition == detector.Cold {
+		return now.Sub(n.since) < c.rampOf(n.Target)
+	}
+	return n.Condition == detector.Down
+}
 
 // takeNotes takes the notes of another balancer.
 func (c *Coordinator) takeNotes(now time.Time, notes []detector.Note) {
@@ -72,7 +75,7 @@
 
 func (c *Coordinator) enforce(now time.Time, n heldNote) {
 	c.tracker.Track(now, n.Target)
-	if n.Condition == detector.Cold && n.applies() {
+	if n.Condition == detector.Cold && c.applies(now, n) {
 		c.tracker.SetFresh(n.Target, n.since)
 		c.limiter.Stop(n.Target)
 		c.limiter.Start(now, n.Target, c.rampOf(n.Target))
@@ -83,27 +86,20 @@
 // rebuilt.
 func (c *Coordinator) enforceNotes(now time.Time) {
 	for _, n := range c.notes {
-		if n.applies() {
+		if c.applies(now, n) {
 			c.enforce(now, n)
 		}
 	}
 }
 
-// endNotes ends the notes of targets whose ramp is over, and forgets those of
-// targets that are gone.
-func (c *Coordinator) endNotes(now time.Time) {
+// forgetNotes forgets the notes of targets that are gone.
+func (c *Coordinator) forgetNotes() {
 	if c.detector.State() == detector.Joining {
 		return
 	}
-	for id, n := range c.notes {
+	for id := range c.notes {
 		if !c.knowsTarget(id) {
 			delete(c.notes, id)
-			continue
-		}
-		if n.Condition == detector.Cold && !n.ended && now.Sub(n.since) >= c.rampOf(id) {
-			n.ended = true
-			c.notes[id] = n
-			c.Note("target is warm", "target", c.targetName(id))
 		}
 	}
 }
@@ -131,27 +127,22 @@
 	return "unknown"
 }
 
-// spread returns the notes to send to balancers that may lack them, in order.
+// spread returns all notes, to send to balancers that may lack some, in order.
 func (c *Coordinator) spread(now time.Time) []detector.Note {
-	var notes []detector.Note
+	notes := make([]detector.Note, 0, len(c.notes))
 	for _, n := range c.notes {
-		age := now.Sub(n.since)
-		if n.applies() || age < spreadTime {
-			note := n.Note
-			note.AgeMilliseconds = uint32(age.Milliseconds())
-			notes = append(notes, note)
-		}
+		note := n.Note
+		note.AgeMilliseconds = uint32(min(now.Sub(n.since).Milliseconds(), math.MaxUint32))
+		notes = append(notes, note)
 	}
 	slices.SortFunc(notes, func(a, b detector.Note) int { return cmp.Compare(a.Target, b.Target) })
 	return notes
 }
 
-// appendNotes appends what the digest says of the notes that apply.
-func (c *Coordinator) appendNotes(key []byte, notes []detector.Note) []byte {
+// appendNotes appends what the digest says of the notes. Those that have ended
+// count too: whoever lacks one may not have tracked its buckets.
+func appendNotes(key []byte, notes []detector.Note) []byte {
 	for _, n := range notes {
-		if !c.notes[n.Target].applies() {
-			continue
-		}
 		key = binary.BigEndian.AppendUint32(key, uint32(n.Target))
 		key = binary.BigEndian.AppendUint64(key, uint64(n.StartedUnixMs))
 		key = binary.BigEndian.AppendUint32(key, n.Version)
@@ -163,18 +154,25 @@
 func digestOf(key []byte) uint32 { return uint32(xxhash.Sum64(key)) }
 
 // holds returns how the noted targets' openings are held back, within the bounds
-// of each service.
-func (c *Coordinator) holds() map[planner.TargetID]tracker.Hold {
+// of each service. One that is still within a ramp keeps its limit.
+func (c *Coordinator) holds(now time.Time) map[planner.TargetID]tracker.Hold {
 	all := make(map[planner.TargetID]tracker.Hold)
 	byService := make(map[*planner.Service][]detector.Note)
 	for id, n := range c.notes {
 		service := c.serviceOf(id)
-		if service == nil || !n.applies() {
+		if service == nil {
 			continue
 		}
-		all[id] = tracker.NoHold
-		if c.tracker.Active().Target(id).TakesFlows() {
+		_, fresh := c.tracker.FreshSince(id)
+		switch {
+		case !c.applies(now, n) && fresh:
+			all[id] = tracker.HoldToLimit
+		case !c.applies(now, n):
+		case c.tracker.Active().Target(id).TakesFlows():
+			all[id] = tracker.NoHold
 			byService[service] = append(byService[service], n.Note)
+		default:
+			all[id] = tracker.NoHold
 		}
 	}
 	for service, notes := range byService {
--- a/coordinator/ticker.go
+++ b/coordinator/ticker.go
@@ -117,7 +117,7 @@
 	}
 	c.expiredAt = now
 	c.tracker.Expire(now)
-	c.endNotes(now)
+	c.forgetNotes()
 	c.endRamps(now)
 }
 
@@ -150,6 +150,7 @@
 		if service == nil || c.limiter.Ended(service.ColdStart(), now.Sub(since)) {
 			c.tracker.EndFresh(id)
 			c.limiter.Stop(id)
+			c.Note("target is warm", "target", target.Name())
 		}
 	}
 }
--- a/detector/detector.go
+++ b/detector/detector.go
@@ -195,19 +195,18 @@
 	d.next = (d.next + count) % len(d.contacts)
 	for i := range min(tables, count) {
 		at := (int(d.self.Sequence) + d.phase() + i*count/tables) % count
-		deliveries[at].message = d.table(now)
+		deliveries[at].message = d.table(now, deliveries[at].to)
 	}
 	return deliveries
 }
 
 // phase spreads the tables of balancers that beat in step over the receivers.
 func (d *Detector) phase() int {
-	const golden = 0x9e3779b1
 	return int(uint32(d.self.ID) * golden >> 16)
 }
 
 func (d *Detector) short(to tracker.MemberID) Message {
-	m := Message{From: d.self.ID, Entries: []Entry{d.self}, Notes: d.notesFor(to)}
+	m := Message{From: d.self.ID, Entries: []Entry{d.self}, Notes: d.notesFor(to, maxNotes)}
 	if p := d.peers[to]; p != nil {
 		m.Entries = append(m.Entries, p.entry)
 	}
@@ -216,7 +215,7 @@
 
 // table returns the lines of all live members, or the next part of them where
 // they don't fit into one message.
-func (d *Detector) table(now time.Time) Message {
+func (d *Detector) table(now time.Time, to tracker.MemberID) Message {
 	live := d.Members(now)
 	m := Message{From: d.self.ID, Entries: []Entry{d.self}}
 	for i := range min(len(live), maxEntries) {
@@ -225,6 +224,8 @@
 	if len(live) > maxEntries {
 		d.part = (d.part + maxEntries) % len(live)
 	}
+	// A note is no longer than a line.
+	m.Notes = d.notesFor(to, min(maxNotes, maxEntries+1-len(m.Entries)))
 	return m
 }
 
--- a/detector/notes.go
+++ b/detector/notes.go
@@ -8,6 +8,9 @@
 // maxNotes bounds the notes of one message, so that it fits one datagram.
 const maxNotes = 16
 
+// golden spreads counts evenly over 32 bits.
+const golden = 0x9e3779b1
+
 // Condition is what a note says of a target.
 type Condition uint8
 
@@ -64,14 +67,16 @@
 func (m Member) Digest() uint32 { return m.entry.Digest }
 
 // notesFor returns the next part of the notes, if the receiver may lack some.
-func (d *Detector) notesFor(to tracker.MemberID) []Note {
+func (d *Detector) notesFor(to tracker.MemberID, limit int) []Note {
 	p := d.peers[to]
 	if len(d.notes) == 0 || (p != nil && p.entry.Digest == d.self.Digest) {
 		return nil
 	}
-	part := make([]Note, 0, maxNotes)
-	start := int(d.self.Sequence) * maxNotes
-	for i := range min(len(d.notes), maxNotes) {
+	count := min(len(d.notes), limit)
+	part := make([]Note, 0, count)
+	// Each receiver gets other parts each time, in no step with the heartbeats.
+	start := int((d.self.Sequence*golden ^ uint32(to)) % uint32(len(d.notes)))
+	for i := range count {
 		part = append(part, d.notes[(start+i)%len(d.notes)])
 	}
 	return part
--- a/tracker/settler.go
+++ b/tracker/settler.go
@@ -37,6 +37,32 @@
 	return n
 }
 
+// SettleAll applies what another balancer asks for, and reports what holds here.
+// One that was cut off for a moment may ask without knowing the flows of a bucket.
+func (t *Tracker) SettleAll(now time.Time, all []Settlement) []bool {
+	busy := make(map[planner.ServiceID]*[planner.Buckets]bool)
+	settled := make([]bool, 0, len(all))
+	for _, m := range all {
+		blocked := m.Phase == Rebase && t.isBusy(now, busy, m)
+		settled = append(settled, !blocked && t.Settle(now, m))
+	}
+	return settled
+}
+
+// isBusy reports whether a record that may still be alive is on another than the
+// bucket's current target. It goes through the records of each service once.
+func (t *Tracker) isBusy(now time.Time, busy map[planner.ServiceID]*[planner.Buckets]bool, m Settlement) bool {
+	s := t.services[m.Service]
+	if s == nil || int(m.Bucket) >= planner.Buckets {
+		return false
+	}
+	if busy[m.Service] == nil {
+		alive := uint32(s.plan.IdleTimeout()/time.Second) * (renewAge + 1)
+		busy[m.Service] = s.busyBuckets(seconds(now) - alive)
+	}
+	return busy[m.Service][m.Bucket]
+}
+
 // Settle applies a phase and reports whether it holds here now.
 func (t *Tracker) Settle(now time.Time, m Settlement) bool {
 	s := t.services[m.Service]
@@ -122,7 +148,7 @@
 		if len(s.tracked) == 0 {
 			continue
 		}
-		busy := s.busyBuckets()
+		busy := s.busyBuckets(0)
 		for i, b := range s.tracked {
 			if busy[i] || t.ranks.resolver(slotOf(id, i)) != t.self {
 				continue
@@ -157,12 +183,13 @@
 // opening have reached everyone.
 const settleDelay = 2 * time.Second
 
-// busyBuckets marks the buckets with a record on another than the current target.
-func (s *service) busyBuckets() *[planner.Buckets]bool {
+// busyBuckets marks the buckets with a record on another than the current target,
+// seen since then.
+func (s *service) busyBuckets(since uint32) *[planner.Buckets]bool {
 	var busy [planner.Buckets]bool
 	for flow, r := range s.records {
 		index := planner.BucketOf(flow)
-		if r.target != s.current(index) {
+		if r.seen >= since && r.target != s.current(index) {
 			busy[index] = true
 		}
 	}
