--- a/exerciser/bounds_test.go
+++ b/exerciser/bounds_test.go
@@ -16,6 +16,7 @@
 const (
 	maxImbalance    = 1.10
 	maxControlToday = 5000.0
+	maxControlAim   = 20000.0
 )
 
 // calm returns today's size without the load that only costs time here.
@@ -74,3 +75,20 @@
 	q := tracker.Query{Service: planner.NewServiceID("booking-desk"), Flow: 12345}
 	is.Equal(testing.AllocsPerRun(1000, func() { d.Decide(now, q) }), 0.0)
 }
+
+// BenchmarkControlTrafficAtTheAimsSize takes over a minute: it keeps its bound in
+// make bench alone.
+func BenchmarkControlTrafficAtTheAimsSize(b *testing.B) {
+	size := exerciser.Aim(1)
+	size.LongFlows /= 1000
+	size.PacketsPerSecond /= 100
+	size.OpeningsPerSecond /= 10
+	size.Duration = 5 * time.Second
+	for b.Loop() {
+		f := play(exerciser.Versioned, size, exerciser.Trace{})
+		b.ReportMetric(f.ControlBytes, "control-B/s")
+		if f.FlowsBroken > 0 || f.ControlBytes > maxControlAim {
+			b.Fatalf("%+v", f)
+		}
+	}
+}
