Settle a bucket only where the current target is the same

Cause: a balancer that skipped the revision active elsewhere (there and back within 2 s) found a bucket quiet on the earlier target, and asked the others to make their own current target, the new one, the base. Long flows then went there from a newcomer that took over that base. Both tests fail without the change.

--- a/exerciser/promises_test.go
+++ b/exerciser/promises_test.go
@@ -82,3 +82,22 @@
 		})
 	}
 }
+
+// TestFoundTraces plays the traces that once broke flows.
+func TestFoundTraces(t *testing.T) {
+	is := is.New(t)
+	found := []struct {
+		seed          uint64
+		change, fault exerciser.Kind
+	}{
+		{2, exerciser.ThereAndBack, exerciser.Freeze},
+		{101, exerciser.ZoneIn, exerciser.Join},
+		{103, exerciser.ZoneIn, exerciser.Freeze},
+		{103, exerciser.Drain, exerciser.Freeze},
+	}
+	for _, c := range found {
+		size := exerciser.Small(c.seed)
+		f := play(exerciser.Versioned, size, exerciser.Single(size, c.change, c.fault))
+		is.Equal(f.FlowsBroken+f.WrongService+f.LateToOut+f.LateToDraining+f.RevisionsReverse, 0)
+	}
+}
--- a/tracker/settler.go
+++ b/tracker/settler.go
@@ -19,13 +19,15 @@
 )
 
 // Settlement asks for one phase of settling a bucket, which holds only where the
-// bucket was last changed by the same revision.
+// bucket was last changed by the same revision and has the same current target: a
+// balancer may skip a revision that is active elsewhere.
 type Settlement struct {
 	_       struct{} `cbor:",toarray"`
 	Phase   Phase
 	Service planner.ServiceID
 	Bucket  uint16
 	Changed uint64
+	Target  planner.TargetID
 }
 
 // Tracked returns the number of tracked buckets.
@@ -74,7 +76,7 @@
 	if b == nil {
 		return true
 	}
-	if b.changed != m.Changed || t.isNoted(s.current(index)) || t.changes(s, index) {
+	if b.changed != m.Changed || s.current(index) != m.Target || t.isNoted(s.current(index)) || t.changes(s, index) {
 		return false
 	}
 	if m.Phase == Rebase {
@@ -154,7 +156,7 @@
 				continue
 			}
 			if t.quiet(now, s, b, i) {
-				quiet = append(quiet, Settlement{Phase: Rebase, Service: id, Bucket: uint16(i), Changed: b.changed})
+				quiet = append(quiet, Settlement{Phase: Rebase, Service: id, Bucket: uint16(i), Changed: b.changed, Target: s.current(i)})
 			}
 		}
 	}
--- a/tracker/settler_test.go
+++ b/tracker/settler_test.go
@@ -120,3 +120,22 @@
 	returning.Adopt(g.now, drained, []tracker.Snapshot{g.trackers[0].Snapshot(g.now)})
 	is.Equal(g.broken(opened), 0)
 }
+
+func TestBalancerThatSkippedARevisionSettlesNothingElsewhere(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(2, planner.New(1, documentOf(nil)))
+	before := g.open(1)
+	g.prepare(planner.New(2, documentOf(map[int]bool{3: true})))
+	g.trackers[0].Activate(g.now)
+	// The other one learns of the way back before it has activated the way there.
+	back := planner.New(3, documentOf(nil))
+	g.now = g.now.Add(3 * time.Second)
+	g.trackers[1].Prepare(g.now, back)
+	for _, s := range g.trackers[1].Quiet(g.now) {
+		g.trackers[0].Settle(g.now, s)
+	}
+	g.trackers[0].Prepare(g.now, back)
+	g.activate()
+	g.kill(1)
+	is.Equal(g.broken(before), 0)
+}
