Open flows elsewhere at once where their target was taken out

Ruled out: opening elsewhere before all have prepared; a balancer that has not would send the flow's next packet to the zone.

--- a/activator/activator.go
+++ b/activator/activator.go
@@ -57,6 +57,10 @@
 	return len(a.waited) == 0 && now.Sub(a.since) >= RecordTime
 }
 
+// PreparedByAll reports whether all live balancers had prepared the revision when
+// Allows was last called.
+func (a *Activator) PreparedByAll() bool { return a.revision != 0 && len(a.waited) == 0 }
+
 // look notes which balancers are still waited for. One that has prepared since the
 // last look forwarded openings by its earlier table until now at the latest; one
 // that was removed has lost its permission some time ago.
--- a/coordinator/ticker.go
+++ b/coordinator/ticker.go
@@ -102,6 +102,7 @@
 		return
 	}
 	if !c.activator.Allows(now, p.Revision(), c.detector.Members(now)) {
+		c.tracker.SetPreparedByAll(c.activator.PreparedByAll())
 		return
 	}
 	c.tracker.Activate(now)
--- a/tracker/revision.go
+++ b/tracker/revision.go
@@ -22,6 +22,7 @@
 		return
 	}
 	t.prepared = p
+	t.preparedByAll = false
 	for id, plan := range p.Services() {
 		s := t.services[id]
 		if s == nil {
@@ -73,6 +74,12 @@
 	return b
 }
 
+// SetPreparedByAll says whether all live balancers have prepared the plan that is
+// prepared here.
+func (t *Tracker) SetPreparedByAll(all bool) {
+	t.preparedByAll = all && t.prepared != nil
+}
+
 // Activate puts the prepared plan in force: openings go to its targets.
 func (t *Tracker) Activate(now time.Time) {
 	if t.prepared == nil {
@@ -81,6 +88,7 @@
 	before := t.active
 	t.active = t.prepared
 	t.prepared = nil
+	t.preparedByAll = false
 	t.noteFresh(now, before)
 	for id, s := range t.services {
 		plan := t.active.ServiceByID(id)
--- a/tracker/snapshot.go
+++ b/tracker/snapshot.go
@@ -136,6 +136,7 @@
 	t.services = make(map[planner.ServiceID]*service)
 	t.active = p
 	t.prepared = nil
+	t.preparedByAll = false
 	for id, plan := range p.Services() {
 		t.services[id] = newService(now, plan)
 	}
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -71,7 +71,9 @@
 	noted    map[planner.TargetID]Hold
 	agreed   bool
 	stale    bool
-	resumed  bool
+	// preparedByAll is true only while there is a prepared plan.
+	preparedByAll bool
+	resumed       bool
 }
 
 type service struct {
@@ -217,7 +219,7 @@
 }
 
 func (t *Tracker) place(now time.Time, s *service, b *bucket, index int, q Query) Decision {
-	current := s.current(index)
+	current := t.openingTarget(s, index)
 	if current == 0 {
 		return drop(NoTarget)
 	}
@@ -238,6 +240,28 @@
 	return d
 }
 
+// openingTarget returns the target of a bucket's openings: the current one, or,
+// where the prepared revision takes that away, the next one as soon as all live
+// balancers have prepared it. No flow is left there that an opening could belong
+// to, so there is nothing to wait for. Limits of fresh targets begin with the
+// activation, so these must wait for it.
+func (t *Tracker) openingTarget(s *service, index int) planner.TargetID {
+	current := s.current(index)
+	id := s.plan.ID()
+	if !t.preparedByAll || t.mayReceive(id, current) {
+		return current
+	}
+	next := t.prepared.ServiceByID(id)
+	if next == nil {
+		return current
+	}
+	target := t.active.Target(next.Lookup(index))
+	if target == nil || !target.TakesFlows() {
+		return current
+	}
+	return target.ID()
+}
+
 // choose returns the current target of the bucket, or another one that takes
 // flows where the current one is at its limit.
 func (t *Tracker) choose(now time.Time, s *service, current planner.TargetID, flow uint64) planner.TargetID {
--- a/tracker/tracker_test.go
+++ b/tracker/tracker_test.go
@@ -262,3 +262,29 @@
 		is.True(g.trackers[1].Target(target) != nil)
 	}
 }
+
+func TestOpeningsLeaveARemovedTargetOnceAllHavePrepared(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(13, planner.New(1, documentOf(nil)))
+	document := documentOf(nil)
+	delete(document.Targets, "t3")
+	g.prepare(planner.New(2, document))
+	dropped := func(opened map[uint64]planner.TargetID) int {
+		n := 0
+		for _, target := range opened {
+			if target == 0 {
+				n++
+			}
+		}
+		return n
+	}
+	is.True(dropped(g.open(1)) > flows/20) // Not all balancers are known to have prepared.
+	for _, t := range g.trackers {
+		t.SetPreparedByAll(true)
+	}
+	opened := g.open(100000)
+	is.Equal(dropped(opened), 0)
+	is.Equal(g.broken(opened), 0)
+	g.activate()
+	is.Equal(g.broken(opened), 0)
+}
