Tell the others when a balancer has ended

Cause: a revision waits for each live balancer, and one that has ended after its drain counted as live until its heartbeats had been missed for 3 s. Ruled out: not waiting for leaving balancers; they go on deciding packets. Conclusion: a planned stop costs the others no wait.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -140,6 +140,16 @@
 	c.collectCopies()
 }
 
+// End returns the last words of this balancer, after which it decides nothing: the
+// others need not wait until its heartbeats are missed.
+func (c *Coordinator) End(now time.Time) []Action {
+	c.detector.SetState(detector.Gone)
+	for range c.detector.Part() {
+		c.beat(now)
+	}
+	return c.Actions()
+}
+
 // Refresh must be called before a batch of decisions: a balancer that was paused
 // finds out that it must not decide by itself.
 func (c *Coordinator) Refresh(now time.Time) {
--- a/detector/detector.go
+++ b/detector/detector.go
@@ -55,6 +55,8 @@
 	Joining State = iota
 	Ready
 	Leaving
+	// Gone is the last word of a balancer that ends.
+	Gone
 )
 
 // Entry is one balancer's line in a message.
@@ -171,6 +173,9 @@
 	sort.Slice(d.contacts, func(i, j int) bool { return d.contacts[i] < d.contacts[j] })
 }
 
+// Part is how many heartbeats reach every contact once.
+func (d *Detector) Part() int { return 1 + len(d.contacts)/FanOut }
+
 // Beat counts this balancer's heartbeat and returns what to send: a short message
 // with this balancer's and the receiver's own line to each of the next FanOut
 // contacts, and the table to some of them.
@@ -275,7 +280,7 @@
 func (d *Detector) merge(now time.Time, e Entry, direct bool) {
 	p := d.peers[e.ID]
 	if p == nil {
-		d.peers[e.ID] = &peer{entry: e, advanced: now}
+		d.peers[e.ID] = &peer{entry: e, advanced: now, removed: e.State == Gone}
 		return
 	}
 	if !newer(e, p.entry) {
@@ -287,7 +292,7 @@
 	}
 	p.entry = e
 	p.advanced = now
-	p.removed = false
+	p.removed = e.State == Gone
 }
 
 func newer(a, b Entry) bool {
--- a/detector/detector_test.go
+++ b/detector/detector_test.go
@@ -203,6 +203,25 @@
 	is.Equal(f.alive(1), 12)
 }
 
+func TestGoneBalancerIsRemovedAtOnce(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(76)
+	f.run(5 * time.Second)
+	f.members[0].SetState(detector.Gone)
+	for range f.members[0].Part() {
+		f.deliver(0, f.members[0].Beat(f.now))
+	}
+	f.frozen[0] = true
+	is.Equal(f.alive(1), 74)
+	is.Equal(f.alive(75), 74)
+	f.run(5 * time.Second)
+	is.Equal(f.alive(1), 74) // Relayed tables don't bring it back.
+	f.frozen[0] = false
+	f.members[0] = f.start(0, incarnation+1, detector.Joining)
+	f.run(time.Second)
+	is.Equal(f.alive(1), 75)
+}
+
 func TestRestartUnderTheSameNameIsHeard(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(3)
--- a/server/admin.go
+++ b/server/admin.go
@@ -20,6 +20,7 @@
 	detector.Joining: "joining",
 	detector.Ready:   "ready",
 	detector.Leaving: "leaving",
+	detector.Gone:    "gone",
 }
 
 // Status is what a balancer says of itself at /status.
--- a/server/server.go
+++ b/server/server.go
@@ -35,6 +35,9 @@
 // askTimeout bounds one request to a peer.
 const askTimeout = 3 * time.Second
 
+// lastWords is how long a balancer that ends gives its last heartbeats to leave.
+const lastWords = 50 * time.Millisecond
+
 // Server is one balancer.
 type Server struct {
 	settings Settings
@@ -146,6 +149,11 @@
 	case <-s.work.Done():
 	case <-time.After(time.Duration(s.settings.Drain)):
 	}
+	s.mu.Lock()
+	s.perform(s.coordinator.End(time.Now()))
+	s.mu.Unlock()
+	// The last heartbeats are on their way when the connections close.
+	time.Sleep(lastWords)
 }
 
 func (s *Server) tickLoop() error {
