Say at once that a revision is prepared

Cause: each balancer told the others at its next heartbeat and looked at what they said at its next tick: up to 0.8 s without openings while a zone goes out. Ruled out: a shorter interval, which costs bytes at all times. Conclusion: a heartbeat at the change itself, and a look at each that arrives.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -182,6 +182,7 @@
 	c.agree(now)
 	c.takeNotes(now, m.Notes)
 	c.updateMembers(now)
+	c.activate(now)
 	c.collectCopies()
 }
 
--- a/coordinator/documents.go
+++ b/coordinator/documents.go
@@ -56,7 +56,8 @@
 	} else {
 		c.prepared = record
 	}
-	c.reportRevisions()
+	// The others wait for this balancer's word before they activate.
+	c.beat(now)
 	c.Note("revision prepared", "revision", record.Revision)
 }
 
