--- /dev/null
+++ b/balancer/balancer.go
@@ -0,0 +1,194 @@
+// Package balancer runs one balancer on a platform whose packets carry a mark that
+// both ends send back, and whose store holds the configuration and the targets'
+// registrations. It joins the decisions to sockets; package server is its
+// counterpart for fabrics that speak Geneve.
+//
+// Director decides on packets, follower where the view of the store comes from, and
+// replicator holds that view. What the packets and the store look like is behind
+// function fields: Fabric and Directory.
+//
+// # Usage
+//
+//	b, err := balancer.New(settings, fabric, directory, log)
+//	err = b.Run(ctx) // until ctx ends and the routers have turned away
+package balancer
+
+import (
+	"context"
+	"log/slog"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"golang.org/x/sync/errgroup"
+
+	"trefoilspring.example/trefoilspring/batcher"
+	"trefoilspring.example/trefoilspring/director"
+	"trefoilspring.example/trefoilspring/follower"
+	"trefoilspring.example/trefoilspring/replicator"
+	"trefoilspring.example/trefoilspring/tokenizer"
+)
+
+// Settings are what a balancer must be told.
+type Settings struct {
+	// Name tells the balancer apart from all others, also after a restart.
+	Name             string
+	AvailabilityZone string
+	// DataAddress takes callers' packets. Callers are reached at its port.
+	DataAddress netip.AddrPort
+	// ReadyAddress answers the routers' readiness checks.
+	ReadyAddress netip.AddrPort
+	// PeerAddress answers other balancers.
+	PeerAddress netip.AddrPort
+	// MetricsAddress serves counters and histograms; none are served without it.
+	MetricsAddress netip.AddrPort
+	// Seeds are peer addresses to ask while the store is away.
+	Seeds []string
+}
+
+// Fabric says how packets look.
+type Fabric struct {
+	// Parse reads a datagram into a packet, whose data stay in the datagram.
+	Parse func(datagram []byte, p *director.Packet) error
+	// Headroom is the space in bytes that Address needs before a packet.
+	Headroom int
+	// Address makes the datagram to a target, in place.
+	Address func(buffer []byte, target *director.Target, token tokenizer.Token) []byte
+	// Reset appends a reset of the packet's flow.
+	Reset func(buffer []byte, p *director.Packet) []byte
+	// RequestID returns the id of a request that begins in a packet's data.
+	RequestID func(data []byte) string
+}
+
+// Directory is the platform's store as the balancer needs it.
+type Directory struct {
+	// Fetch returns what changed after a revision, everything after 0, and waits
+	// for a change up to wait.
+	Fetch func(ctx context.Context, after uint64, wait time.Duration) (replicator.Update, error)
+	// Decode says what a changed key means, and whether it matters. A change may
+	// come beside an error, which is then to be reported.
+	Decode func(replicator.Item) (director.Change, bool, error)
+	// Put writes a key that is removed when the lease ends.
+	Put func(ctx context.Context, key string, value []byte, lease uint64) error
+	// Lease makes a lease.
+	Lease func(ctx context.Context, ttl time.Duration) (uint64, error)
+	// Renew renews a lease and reports whether it still exists.
+	Renew func(ctx context.Context, lease uint64) (bool, error)
+	// End ends a lease.
+	End func(ctx context.Context, lease uint64) error
+}
+
+// Balancer is one balancer.
+type Balancer struct {
+	settings  Settings
+	fabric    Fabric
+	directory Directory
+	log       *slog.Logger
+	metrics   *meters
+	started   time.Time
+	stopping  atomic.Bool
+	// lastPacket is when the last datagram came, in Unix nanoseconds.
+	lastPacket atomic.Int64
+
+	mu       sync.Mutex
+	director *director.Director
+	view     view
+}
+
+// New returns a balancer with these settings.
+func New(settings Settings, fabric Fabric, directory Directory, log *slog.Logger) *Balancer {
+	b := &Balancer{
+		settings:  settings,
+		fabric:    fabric,
+		directory: directory,
+		log:       log.With("balancer", settings.Name),
+		started:   time.Now(),
+		director:  director.New(xxhash.Sum64String(settings.Name)),
+	}
+	b.view.init()
+	b.metrics = newMeters(b)
+	return b
+}
+
+// Run serves until ctx ends, then goes on until the routers have turned away.
+func (b *Balancer) Run(ctx context.Context) error {
+	// The work goes on while the balancer stops, so it has a context of its own.
+	work, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	conn, err := batcher.Listen(work, b.settings.DataAddress)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	group, work := errgroup.WithContext(work)
+	registrar := newRegistrar(b)
+	group.Go(func() error { return b.forward(work, conn) })
+	group.Go(func() error { return b.serveReadiness(work) })
+	group.Go(func() error { return b.servePeers(work) })
+	group.Go(func() error { return b.serveMetrics(work) })
+	group.Go(func() error { return b.newFollower().Run(work) })
+	group.Go(func() error { return registrar.run(work) })
+	group.Go(func() error { return b.tick(work) })
+	group.Go(func() error {
+		select {
+		case <-work.Done():
+		case <-ctx.Done():
+			b.stop(work)
+			end()
+		}
+		return nil
+	})
+	b.log.Info("balancer started", "zone", b.settings.AvailabilityZone, "data-address", b.settings.DataAddress.String())
+	err = group.Wait()
+	b.log.Info("balancer ended")
+	return err
+}
+
+// tickInterval is how often what is too old is forgotten.
+const tickInterval = time.Second
+
+func (b *Balancer) tick(ctx context.Context) error {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			b.mu.Lock()
+			b.director.Tick(now)
+			b.mu.Unlock()
+		}
+	}
+}
+
+func (b *Balancer) newFollower() *follower.Follower {
+	f := follower.New(b.self(), b.settings.Seeds)
+	f.Fetch = b.fetch
+	f.Merge = b.merge
+	f.Revision = func() uint64 {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		return b.view.replica.Revision()
+	}
+	f.Log = b.log
+	return f
+}
+
+func (b *Balancer) self() follower.Peer {
+	return follower.Peer{
+		Name:             b.settings.Name,
+		AvailabilityZone: b.settings.AvailabilityZone,
+		Address:          b.settings.PeerAddress.String(),
+	}
+}
+
+// fetch asks the store or a peer.
+func (b *Balancer) fetch(ctx context.Context, s follower.Source, after uint64, wait time.Duration) (replicator.Update, error) {
+	if s.Store() {
+		return b.directory.Fetch(ctx, after, wait)
+	}
+	return b.view.ask(ctx, s.Peer.Address, after, wait)
+}
--- /dev/null
+++ b/balancer/peers.go
@@ -0,0 +1,141 @@
+package balancer
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+
+	"trefoilspring.example/trefoilspring/replicator"
+)
+
+const (
+	// peerTimeout is added to the wait of a question to a peer. Peers of a zone are
+	// 0.1 ms away, others 1.4 ms; a small VM takes up to 100 ms for a full answer.
+	peerTimeout = 500 * time.Millisecond
+	// peerDialTimeout bounds the opening of a connection to a peer.
+	peerDialTimeout = 300 * time.Millisecond
+	// maxPeerWait bounds how long a peer may have its answer wait.
+	maxPeerWait = 5 * time.Second
+	// maxPeerAnswerBytes bounds an answer: the store's values are at most 1 MB.
+	maxPeerAnswerBytes = 8 << 20
+	// readTimeout bounds the reading of a request's head.
+	readTimeout = 5 * time.Second
+
+	viewPath  = "/view"
+	afterName = "after"
+	waitName  = "wait-ms"
+)
+
+func newPeerClient() *http.Client {
+	dialer := &net.Dialer{Timeout: peerDialTimeout}
+	return &http.Client{Transport: &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: 1,
+		IdleConnTimeout:     10 * time.Second,
+		DisableCompression:  true,
+	}}
+}
+
+// PeerError reports a peer that did not answer as a balancer does.
+type PeerError struct {
+	address string
+	status  int
+}
+
+// Address returns the peer's address.
+func (e *PeerError) Address() string { return e.address }
+
+// Status returns the HTTP status of its answer.
+func (e *PeerError) Status() int { return e.status }
+
+func (e *PeerError) Error() string {
+	return fmt.Sprintf("peer %s answered with status %d", e.address, e.status)
+}
+
+// ask asks a peer for what it knows beyond a revision.
+func (v *view) ask(ctx context.Context, address string, after uint64, wait time.Duration) (replicator.Update, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+peerTimeout)
+	defer cancel()
+	query := url.Values{
+		afterName: {strconv.FormatUint(after, 10)},
+		waitName:  {strconv.FormatInt(wait.Milliseconds(), 10)},
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+viewPath+"?"+query.Encode(), nil)
+	if err != nil {
+		return replicator.Update{}, errors.Wrapf(err, "asking peer %s", address)
+	}
+	res, err := v.client.Do(req)
+	if err != nil {
+		return replicator.Update{}, errors.Wrapf(err, "asking peer %s", address)
+	}
+	defer res.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(res.Body, maxPeerAnswerBytes))
+	if err != nil {
+		return replicator.Update{}, errors.Wrapf(err, "asking peer %s", address)
+	}
+	if res.StatusCode != http.StatusOK {
+		return replicator.Update{}, &PeerError{address: address, status: res.StatusCode}
+	}
+	var u replicator.Update
+	if err := cbor.Unmarshal(data, &u); err != nil {
+		return replicator.Update{}, errors.Wrapf(err, "reading the answer of peer %s", address)
+	}
+	if u.Revision == 0 {
+		return replicator.Update{}, errors.Wrapf(errNoView, "asking peer %s", address)
+	}
+	return u, nil
+}
+
+func (b *Balancer) servePeers(ctx context.Context) error {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+viewPath, b.serveView)
+	return serve(ctx, b.settings.PeerAddress, mux)
+}
+
+func (b *Balancer) serveView(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseUint(r.FormValue(afterName), 10, 64)
+	if err != nil {
+		http.Error(w, afterName+" must be a revision", http.StatusBadRequest)
+		return
+	}
+	ms, err := strconv.ParseUint(r.FormValue(waitName), 10, 32)
+	if err != nil {
+		http.Error(w, waitName+" must be whole milliseconds", http.StatusBadRequest)
+		return
+	}
+	u := b.since(r.Context(), after, min(time.Duration(ms)*time.Millisecond, maxPeerWait))
+	data, err := cbor.Marshal(u)
+	if err != nil {
+		b.log.Error("view can't be encoded for a peer", "cause", err.Error())
+		http.Error(w, "encoding failed", http.StatusInternalServerError)
+		return
+	}
+	if _, err := w.Write(data); err != nil {
+		b.metrics.peerAnswersLost.Inc()
+	}
+}
+
+// serve serves HTTP at an address until ctx ends.
+func serve(ctx context.Context, address netip.AddrPort, handler http.Handler) error {
+	var config net.ListenConfig
+	listener, err := config.Listen(ctx, "tcp", address.String())
+	if err != nil {
+		return errors.Wrapf(err, "listening on %s", address)
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: readTimeout}
+	stop := context.AfterFunc(ctx, func() { server.Close() })
+	defer stop()
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return errors.Wrapf(err, "serving on %s", address)
+	}
+	return nil
+}
--- /dev/null
+++ b/balancer/view.go
@@ -0,0 +1,151 @@
+package balancer
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"trefoilspring.example/trefoilspring/follower"
+	"trefoilspring.example/trefoilspring/replicator"
+)
+
+const (
+	// outageGap is the time without word from the store after which registrations
+	// may have lapsed unjustly. They lapse after three heartbeats, 2.3 s on the
+	// platform of our users; a follower of live readers is never 2 s without word.
+	outageGap = 2 * time.Second
+	// returnGrace is how long after an outage living targets take to be back: the
+	// platform says about 2 s.
+	returnGrace = 2500 * time.Millisecond
+	// balancerPrefix is where balancers register.
+	balancerPrefix = "trefoilspring/balancers/"
+)
+
+// view is what the balancer believes of the store, under the balancer's lock.
+type view struct {
+	replica replicator.Replica
+	peers   map[string]follower.Peer
+	// changed is closed and replaced when the replica changes.
+	changed chan struct{}
+	client  *http.Client
+}
+
+func (v *view) init() {
+	v.peers = make(map[string]follower.Peer)
+	v.changed = make(chan struct{})
+	v.client = newPeerClient()
+}
+
+// merge takes over an update and tells the director and waiting peers.
+func (b *Balancer) merge(u replicator.Update, s follower.Source) (bool, []follower.Peer) {
+	now := time.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	v := &b.view
+	if age, known := v.replica.Age(now); known && age > outageGap {
+		b.director.SetOutage(now.Add(returnGrace))
+		b.log.Warn("view was out of date", "age-ms", age.Milliseconds(), "source", s.String())
+	}
+	changed := v.replica.Merge(u, now)
+	for _, item := range changed {
+		b.apply(now, item, s)
+	}
+	if len(changed) > 0 {
+		close(v.changed)
+		v.changed = make(chan struct{})
+	}
+	peers := make([]follower.Peer, 0, len(v.peers))
+	for _, p := range v.peers {
+		peers = append(peers, p)
+	}
+	return len(changed) > 0, peers
+}
+
+// apply takes over one changed key.
+func (b *Balancer) apply(now time.Time, item replicator.Item, s follower.Source) {
+	if name, ok := balancerName(item.Key); ok {
+		b.applyPeer(name, item)
+		return
+	}
+	change, matters, err := b.directory.Decode(item)
+	if err != nil {
+		b.metrics.entryErrors.Inc()
+		b.log.Warn("entry of the store can't be used", "key", item.Key, "revision", item.Revision, "cause", err.Error())
+	}
+	if !matters {
+		return
+	}
+	b.director.Apply(now, change)
+	log := b.log.With("source", s.String(), "revision", item.Revision)
+	switch {
+	case change.Configuration != nil:
+		log.Info("configuration in force", "version", change.Configuration.Version, "routes", len(change.Configuration.Routes))
+	case change.Target != nil:
+		t := change.Target
+		log.Info("target registered", "target", t.Name, "service", t.Service, "zone", t.AvailabilityZone,
+			"draining", t.Draining, "cold-ms", t.ColdFor.Milliseconds())
+	case change.Removed != "":
+		log.Info("target removed", "target", change.Removed)
+	case change.Zone != "":
+		log.Info("availability zone changed", "zone", change.Zone, "out", change.Out)
+	}
+}
+
+// registration is what a balancer writes of itself.
+type registration struct {
+	AvailabilityZone string `json:"availability-zone"`
+	Address          string `json:"address"`
+}
+
+func balancerName(key string) (string, bool) {
+	if len(key) <= len(balancerPrefix) || key[:len(balancerPrefix)] != balancerPrefix {
+		return "", false
+	}
+	return key[len(balancerPrefix):], true
+}
+
+func (b *Balancer) applyPeer(name string, item replicator.Item) {
+	if item.Removed {
+		delete(b.view.peers, name)
+		b.log.Info("balancer left", "peer", name)
+	} else {
+		var r registration
+		if err := json.Unmarshal(item.Value, &r); err != nil {
+			b.log.Warn("registration of a balancer can't be read", "peer", name, "cause", err.Error())
+			return
+		}
+		b.view.peers[name] = follower.Peer{Name: name, AvailabilityZone: r.AvailabilityZone, Address: r.Address}
+		b.log.Info("balancer registered", "peer", name, "zone", r.AvailabilityZone)
+	}
+	b.director.SetHolders(len(b.view.peers))
+}
+
+// since answers a peer: what it lacks, once there is something or wait is over.
+func (b *Balancer) since(ctx context.Context, after uint64, wait time.Duration) replicator.Update {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		b.mu.Lock()
+		if b.view.replica.Changed(after) {
+			defer b.mu.Unlock()
+			return b.view.replica.Since(after, time.Now())
+		}
+		changed := b.view.changed
+		b.mu.Unlock()
+		select {
+		case <-changed:
+			continue
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		return b.view.replica.Since(after, time.Now())
+	}
+}
+
+// errNoView reports a peer that knows nothing yet.
+var errNoView = errors.New("the peer has no view yet")
--- a/batcher/batcher.go
+++ b/batcher/batcher.go
@@ -198,6 +198,9 @@
 // Full reports whether Flush must be called before the next Add.
 func (w *Writer) Full() bool { return w.pending == Datagrams }
 
+// Pending returns how many datagrams wait for Flush.
+func (w *Writer) Pending() int { return w.pending }
+
 // Add takes a datagram, whose bytes must stay unchanged until Flush.
 func (w *Writer) Add(datagram []byte, destination netip.AddrPort) {
 	i := w.pending
--- /dev/null
+++ b/cmd_balance.go
@@ -0,0 +1,76 @@
+package main
+
+import (
+	"context"
+	"log/slog"
+	"net/netip"
+	"os"
+	"runtime/debug"
+
+	"github.com/urfave/cli/v3"
+	"golang.org/x/sync/errgroup"
+
+	"trefoilspring.example/trefoilspring/balancer"
+	"trefoilspring.example/trefoilspring/logger"
+	"trefoilspring.example/trefoilspring/platform"
+)
+
+// metricsPort is the port that serves metrics on the VM's address; it is also in
+// deploy/system.toml.
+const metricsPort = 9464
+
+func cmdBalance() *cli.Command {
+	return &cli.Command{
+		Name:  "balance",
+		Usage: "run a balancer on the users' platform until it is told to stop",
+		Description: `Reads the settings file that the platform writes, whose path is in the
+environment variable ` + platform.SettingsVariable + `. Serves until SIGTERM or
+SIGINT, then goes on until the routers have turned away. Logs JSON lines on
+standard output.
+
+Example:
+   trefoilspring balance --log-level info
+
+` + serveExitHelp,
+		Flags:        []cli.Flag{logLevelFlag()},
+		OnUsageError: usageError,
+		Action: func(ctx context.Context, c *cli.Command) error {
+			return withExitCode(balance(ctx, logLevels[c.String(logLevelName)]))
+		},
+	}
+}
+
+func balance(ctx context.Context, level slog.Level) error {
+	settings, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable))
+	if err != nil {
+		return err
+	}
+	limitMemory(settings.MemoryBytes())
+	lines := logger.New(os.Stdout)
+	log := slog.New(slog.NewJSONHandler(lines, &slog.HandlerOptions{Level: level}))
+	own := settings.Balancer()
+	own.MetricsAddress = netip.AddrPortFrom(own.DataAddress.Addr(), metricsPort)
+	b := balancer.New(own, platform.Fabric(), platform.Directory(platform.NewStore(settings.StoreAddress())), log)
+
+	writing, stopWriting := context.WithCancel(context.WithoutCancel(ctx))
+	var group errgroup.Group
+	group.Go(func() error { return lines.Run(writing) })
+	err = b.Run(ctx)
+	if err != nil {
+		log.Error("balancer failed", "cause", err.Error())
+	}
+	stopWriting()
+	_ = group.Wait()
+	return err
+}
+
+// memoryShare is the part of the process's limit from which on the garbage
+// collector works harder, so that bytes that wait in sockets still fit.
+const memoryShare = 0.6
+
+func limitMemory(limit int64) {
+	debug.SetGCPercent(gcPercent)
+	if limit > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(limit)))
+	}
+}
--- a/commands.go
+++ b/commands.go
@@ -20,6 +20,7 @@
 func commands() []*cli.Command {
 	return []*cli.Command{
 		cmdServe(),
+		cmdBalance(),
 		cmdCheckSettings(),
 		cmdStatus(),
 		cmdExplain(),
--- a/platform/client_test.go
+++ b/consul/client_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package consul_test
 
 import (
 	"context"
@@ -11,12 +11,12 @@
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
-	"trefoilspring.example/trefoilspring/platform"
+	"trefoilspring.example/trefoilspring/consul"
 	"trefoilspring.example/trefoilspring/standin/keeper"
 )
 
 type bench struct {
-	store  *platform.Store
+	store  *consul.Store
 	keeper *keeper.Server
 	admin  string
 }
@@ -31,7 +31,7 @@
 		api.Close()
 		admin.Close()
 	})
-	return bench{store: platform.New(api.URL), keeper: k, admin: admin.URL}
+	return bench{store: consul.New(api.URL), keeper: k, admin: admin.URL}
 }
 
 func (b bench) set(t *testing.T, form string) {
@@ -52,7 +52,7 @@
 	is.True(!entry.Found())
 	is.NoErr(b.store.CompareAndSwap(ctx, "a/b", 0, []byte("one")))
 	err = b.store.CompareAndSwap(ctx, "a/b", 0, []byte("two"))
-	var conflict *platform.ConflictError
+	var conflict *consul.ConflictError
 	is.True(errors.As(err, &conflict))
 	is.Equal(conflict.Key(), "a/b")
 	entry, err = b.store.Get(ctx, "a/b")
@@ -67,7 +67,7 @@
 	b := newBench(t)
 	b.set(t, "lose-answers=1")
 	err := b.store.CompareAndSwap(t.Context(), "k", 0, []byte("v"))
-	var unknown *platform.UnknownOutcomeError
+	var unknown *consul.UnknownOutcomeError
 	is.True(errors.As(err, &unknown))
 	entry, err := b.store.Get(t.Context(), "k")
 	is.NoErr(err)
@@ -79,7 +79,7 @@
 	b := newBench(t)
 	b.set(t, "outage=on")
 	_, err := b.store.Get(t.Context(), "k")
-	var down *platform.UnavailableError
+	var down *consul.UnavailableError
 	is.True(errors.As(err, &down))
 }
 
@@ -101,9 +101,9 @@
 
 func TestNextIndexGoingBackwards(t *testing.T) {
 	is := is.New(t)
-	is.Equal(platform.NextIndex(9, 4), uint64(0))
-	is.Equal(platform.NextIndex(4, 9), uint64(9))
-	is.Equal(platform.NextIndex(0, 0), uint64(1))
+	is.Equal(consul.NextIndex(9, 4), uint64(0))
+	is.Equal(consul.NextIndex(4, 9), uint64(9))
+	is.Equal(consul.NextIndex(0, 0), uint64(1))
 }
 
 func TestSessionLapses(t *testing.T) {
@@ -115,10 +115,10 @@
 	second, err := b.store.CreateSession(ctx, "two", time.Minute)
 	is.NoErr(err)
 	is.NoErr(b.store.Acquire(ctx, "role", first, []byte("one")))
-	var conflict *platform.ConflictError
+	var conflict *consul.ConflictError
 	is.True(errors.As(b.store.Acquire(ctx, "role", second, []byte("two")), &conflict))
 	b.set(t, "lapse-sessions=1")
-	var lapsed *platform.LapsedError
+	var lapsed *consul.LapsedError
 	is.True(errors.As(b.store.RenewSession(ctx, first), &lapsed))
 	is.True(errors.As(b.store.Acquire(ctx, "role", first, nil), &lapsed))
 	entry, err := b.store.Get(ctx, "role")
@@ -134,7 +134,7 @@
 	_, err := b.store.Get(t.Context(), "k")
 	is.NoErr(err)
 	_, err = b.store.Get(t.Context(), "k")
-	var limited *platform.RateLimitedError
+	var limited *consul.RateLimitedError
 	is.True(errors.As(err, &limited))
 	is.Equal(b.keeper.Calls().RateLimited, uint64(1))
 }
@@ -145,7 +145,7 @@
 	f.Add(404, "", []byte(`not found`))
 	f.Add(200, "7", []byte(`[{"Key":"k","Value":"djE=","ModifyIndex":0}]`))
 	f.Fuzz(func(t *testing.T, status int, index string, body []byte) {
-		entry, err := platform.DecodeEntry(status, index, body)
+		entry, err := consul.DecodeEntry(status, index, body)
 		if err != nil && entry.Found() {
 			t.Fatal("an error with an entry")
 		}
@@ -163,10 +163,10 @@
 	b.set(t, "slow=300ms")
 	short, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
 	defer cancel()
-	var unknown *platform.UnknownOutcomeError
+	var unknown *consul.UnknownOutcomeError
 	is.True(errors.As(b.store.CompareAndSwap(short, "k", 0, []byte("late")), &unknown))
 	_, err := b.store.Get(short, "k")
-	var down *platform.UnavailableError
+	var down *consul.UnavailableError
 	is.True(errors.As(err, &down))
 	deadline := time.Now().Add(10 * time.Second)
 	for {
--- a/platform/entry.go
+++ b/consul/entry.go
@@ -1,4 +1,4 @@
-package platform
+package consul
 
 // Entry is what the platform holds at one key. The zero value is an absent key.
 type Entry struct {
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -10,7 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/go-json-experiment/json"
 
-	"trefoilspring.example/trefoilspring/platform"
+	"trefoilspring.example/trefoilspring/consul"
 )
 
 const (
@@ -33,7 +33,7 @@
 // Elector campaigns for a role. Its methods may be called from several
 // goroutines; its fields are set before Run is called.
 type Elector struct {
-	store *platform.Store
+	store *consul.Store
 	role  string
 	name  string
 
@@ -51,7 +51,7 @@
 }
 
 // New returns a candidate for role, which names itself name in the platform.
-func New(store *platform.Store, role, name string) *Elector {
+func New(store *consul.Store, role, name string) *Elector {
 	return &Elector{
 		store: store,
 		role:  role,
@@ -159,7 +159,7 @@
 		return nil
 	}
 	err := e.store.RenewSession(ctx, e.session)
-	var lapsed *platform.LapsedError
+	var lapsed *consul.LapsedError
 	if errors.As(err, &lapsed) {
 		e.lose()
 	}
@@ -178,8 +178,8 @@
 
 func (e *Elector) acquire(ctx context.Context) (bool, error) {
 	err := e.store.Acquire(ctx, leaseKey+e.role, e.session, []byte(e.name))
-	var conflict *platform.ConflictError
-	var lapsed *platform.LapsedError
+	var conflict *consul.ConflictError
+	var lapsed *consul.LapsedError
 	switch {
 	case errors.As(err, &conflict):
 		return false, nil
@@ -230,12 +230,12 @@
 	if err := e.observe(ctx); err != nil {
 		return errors.CombineErrors(writeErr, err)
 	}
-	var unknown *platform.UnknownOutcomeError
+	var unknown *consul.UnknownOutcomeError
 	taken := e.core.Fence() == w.Fence() && e.core.index != w.Index() && bytes.Equal(e.value, value)
 	if errors.As(writeErr, &unknown) && taken {
 		return nil
 	}
-	var conflict *platform.ConflictError
+	var conflict *consul.ConflictError
 	if errors.As(writeErr, &conflict) && e.core.Fence() != w.Fence() {
 		return &FencedError{role: e.role, fence: w.Fence()}
 	}
--- a/elector/elector_test.go
+++ b/elector/elector_test.go
@@ -11,12 +11,12 @@
 	"github.com/matryer/is"
 	"golang.org/x/sync/errgroup"
 
+	"trefoilspring.example/trefoilspring/consul"
 	"trefoilspring.example/trefoilspring/elector"
-	"trefoilspring.example/trefoilspring/platform"
 	"trefoilspring.example/trefoilspring/standin/keeper"
 )
 
-func newStore(t *testing.T) (*platform.Store, *keeper.Server) {
+func newStore(t *testing.T) (*consul.Store, *keeper.Server) {
 	t.Helper()
 	k := keeper.New()
 	api := httptest.NewServer(k.API())
@@ -24,7 +24,7 @@
 		api.CloseClientConnections()
 		api.Close()
 	})
-	return platform.New(api.URL), k
+	return consul.New(api.URL), k
 }
 
 func TestOneHolder(t *testing.T) {
--- a/flags.go
+++ b/flags.go
@@ -13,7 +13,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
 
-	"trefoilspring.example/trefoilspring/platform"
+	"trefoilspring.example/trefoilspring/consul"
 	"trefoilspring.example/trefoilspring/publisher"
 )
 
@@ -126,7 +126,7 @@
 }
 
 func newPublisher(c *cli.Command) *publisher.Publisher {
-	return publisher.New(platform.New(c.String(platformName)), c.String(authorName))
+	return publisher.New(consul.New(c.String(platformName)), c.String(authorName))
 }
 
 func proposalOf(c *cli.Command) publisher.Proposal {
--- /dev/null
+++ b/follower/follower.go
@@ -0,0 +1,211 @@
+// Package follower decides where a balancer learns what the platform's store
+// holds: from the store itself, or from a balancer that reads it.
+//
+// A few balancers of each availability zone read the store, those that come first
+// in an order that follows from their names. The others ask one of them. Nobody is
+// elected: a balancer reads the store if it knows of too few live balancers before
+// it in that order, so the death of any of them needs no agreement. A source that
+// fails, or whose knowledge is old, is left alone for a while.
+//
+// # Usage
+//
+//	core := follower.NewCore(self, seeds)
+//	core.SetPeers(peers)
+//	source := core.Next(now)
+//	update, err := fetch(source)
+//	core.Done(now, source, update.Age, err != nil)
+//
+// Core has no clock and does no input or output; it is not safe for use from
+// several goroutines. Follower is the loop around it.
+package follower
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// readersPerZone is how many balancers of a zone read the store. With two, the
+	// death of one delays no change for half of the zone.
+	readersPerZone = 2
+	// staleAge is the age from which on a peer's knowledge is not worth asking for:
+	// twice what a follower of a live reader holds at most (1.6 s), rounded down.
+	staleAge = 2500 * time.Millisecond
+	// shunFor is how long a source that failed is left alone, doubled with each
+	// failure in a row up to shunForMost.
+	shunFor     = 2 * time.Second
+	shunForMost = 16 * time.Second
+	// readerRetry is how long a reader waits after a failed call to the store. A
+	// balancer that reads only because the readers fail waits substituteRetry, so
+	// that an outage doesn't make a fleet of callers.
+	readerRetry     = 500 * time.Millisecond
+	substituteRetry = 2 * time.Second
+)
+
+// Peer is another balancer.
+type Peer struct {
+	Name             string
+	AvailabilityZone string
+	// Address is where it answers its peers.
+	Address string
+}
+
+// Source is where to ask next. The zero Peer means the store.
+type Source struct {
+	Peer Peer
+}
+
+// Store reports whether the source is the store itself.
+func (s Source) Store() bool { return s.Peer.Address == "" }
+
+// String names the source for logs.
+func (s Source) String() string {
+	if s.Store() {
+		return "store"
+	}
+	return cmp.Or(s.Peer.Name, s.Peer.Address)
+}
+
+// health is what is known of one source.
+type health struct {
+	failures  int
+	shunUntil time.Time
+}
+
+// Core is the decision.
+type Core struct {
+	self  Peer
+	seeds []string
+	peers []Peer
+	// nearby are the balancers of the own zone, the own one included, in order.
+	nearby  []Peer
+	sources map[string]*health
+	turn    int
+}
+
+// NewCore returns the Core of one balancer. Seeds are addresses to ask as long as
+// no peers are known; they may be out of date.
+func NewCore(self Peer, seeds []string) *Core {
+	c := &Core{self: self, seeds: seeds, sources: make(map[string]*health)}
+	c.SetPeers(nil)
+	return c
+}
+
+// SetPeers sets the other balancers that are registered.
+func (c *Core) SetPeers(peers []Peer) {
+	c.peers = c.peers[:0]
+	c.nearby = append(c.nearby[:0], c.self)
+	for _, p := range peers {
+		if p.Name == c.self.Name || p.Address == c.self.Address {
+			continue
+		}
+		c.peers = append(c.peers, p)
+		if p.AvailabilityZone == c.self.AvailabilityZone {
+			c.nearby = append(c.nearby, p)
+		}
+	}
+	slices.SortFunc(c.peers, byRank)
+	slices.SortFunc(c.nearby, byRank)
+}
+
+func byRank(a, b Peer) int {
+	return cmp.Or(cmp.Compare(rank(a.Name), rank(b.Name)), cmp.Compare(a.Name, b.Name))
+}
+
+func rank(name string) uint64 { return xxhash.Sum64String(name) }
+
+// Next returns the source to ask now, or how long to wait before there is one.
+func (c *Core) Next(now time.Time) (Source, time.Duration) {
+	readers := c.readers(now)
+	if !slices.Contains(readers, c.self) {
+		// Halves of the zone ask different readers.
+		return Source{Peer: readers[rank(c.self.Name)%uint64(len(readers))]}, 0
+	}
+	retry := c.healthOf("").shunUntil
+	if !now.Before(retry) {
+		return Source{}, 0
+	}
+	if p, ok := c.anyPeer(now); ok {
+		return Source{Peer: p}, 0
+	}
+	return Source{}, retry.Sub(now)
+}
+
+// readers returns who reads the store in the own zone, as far as this balancer
+// can tell.
+func (c *Core) readers(now time.Time) []Peer {
+	readers := make([]Peer, 0, readersPerZone)
+	for _, p := range c.nearby {
+		if p != c.self && c.shunned(now, p.Address) {
+			continue
+		}
+		readers = append(readers, p)
+		if len(readers) == readersPerZone {
+			break
+		}
+	}
+	return readers
+}
+
+// anyPeer returns a peer to ask while the store doesn't answer: one of any zone,
+// in turn.
+func (c *Core) anyPeer(now time.Time) (Peer, bool) {
+	candidates := c.peers
+	if len(candidates) == 0 {
+		candidates = nil
+		for _, address := range c.seeds {
+			if address != c.self.Address {
+				candidates = append(candidates, Peer{Address: address})
+			}
+		}
+	}
+	for range candidates {
+		c.turn++
+		p := candidates[c.turn%len(candidates)]
+		if !c.shunned(now, p.Address) {
+			return p, true
+		}
+	}
+	return Peer{}, false
+}
+
+// Done notes what came of asking a source: how old its knowledge was, or that it
+// failed.
+func (c *Core) Done(now time.Time, s Source, age time.Duration, failed bool) {
+	h := c.healthOf(s.Peer.Address)
+	if !failed && age <= staleAge {
+		*h = health{}
+		return
+	}
+	h.failures++
+	if s.Store() {
+		h.shunUntil = now.Add(c.storeRetry())
+		return
+	}
+	h.shunUntil = now.Add(min(shunFor<<min(h.failures-1, 8), shunForMost))
+}
+
+// storeRetry is how long to leave the store alone after a failure.
+func (c *Core) storeRetry() time.Duration {
+	if slices.Index(c.nearby, c.self) < readersPerZone {
+		return readerRetry
+	}
+	return substituteRetry
+}
+
+func (c *Core) shunned(now time.Time, address string) bool {
+	h := c.sources[address]
+	return h != nil && now.Before(h.shunUntil)
+}
+
+func (c *Core) healthOf(address string) *health {
+	h := c.sources[address]
+	if h == nil {
+		h = &health{}
+		c.sources[address] = h
+	}
+	return h
+}
--- /dev/null
+++ b/follower/loop.go
@@ -0,0 +1,109 @@
+package follower
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"trefoilspring.example/trefoilspring/replicator"
+)
+
+const (
+	// storeWait is how long a read of the store waits for a change. It bounds how
+	// old the knowledge of a reader is, and how long a silent connection goes
+	// unnoticed; each wait is a call that the platform counts.
+	storeWait = time.Second
+	// peerWait is how long a peer waits for a change before it answers.
+	peerWait = 500 * time.Millisecond
+	// storePause follows an answer of the store, so that changes which come close
+	// together cost one call.
+	storePause = 250 * time.Millisecond
+	// failurePause follows a failure, so that sources which refuse at once are not
+	// asked in a tight loop.
+	failurePause = 100 * time.Millisecond
+)
+
+// Fetch asks a source for what it knows beyond a revision. It waits for a change
+// up to wait.
+type Fetch func(ctx context.Context, source Source, after uint64, wait time.Duration) (replicator.Update, error)
+
+// Follower is the loop around Core. Its fields are set before Run is called.
+type Follower struct {
+	// Fetch asks a source.
+	Fetch Fetch
+	// Merge takes over an update and returns whether anything changed, and the
+	// peers that are registered now.
+	Merge func(update replicator.Update, source Source) (changed bool, peers []Peer)
+	// Revision returns the revision up to which the balancer knows everything.
+	Revision func() uint64
+	Log      *slog.Logger
+
+	core *Core
+	lost map[string]bool
+}
+
+// New returns a Follower of one balancer.
+func New(self Peer, seeds []string) *Follower {
+	return &Follower{core: NewCore(self, seeds), lost: make(map[string]bool)}
+}
+
+// Run follows until ctx ends.
+func (f *Follower) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		source, wait := f.core.Next(time.Now())
+		if wait == 0 {
+			wait = f.step(ctx, source)
+		}
+		pause(ctx, wait)
+	}
+	return nil
+}
+
+// step asks a source once and returns how long to pause.
+func (f *Follower) step(ctx context.Context, source Source) time.Duration {
+	wait := peerWait
+	if source.Store() {
+		wait = storeWait
+	}
+	update, err := f.Fetch(ctx, source, f.Revision(), wait)
+	if ctx.Err() != nil {
+		return 0
+	}
+	f.core.Done(time.Now(), source, update.Age, err != nil)
+	f.report(source, err)
+	if err != nil {
+		return failurePause
+	}
+	changed, peers := f.Merge(update, source)
+	f.core.SetPeers(peers)
+	switch {
+	case changed && source.Store():
+		return storePause
+	case update.Age > staleAge:
+		return failurePause
+	}
+	return 0
+}
+
+// report logs a source that is lost or regained.
+func (f *Follower) report(source Source, err error) {
+	name := source.String()
+	switch {
+	case err != nil && !f.lost[name]:
+		f.lost[name] = true
+		f.Log.Warn("source of the view lost", "source", name, "cause", err.Error())
+	case err == nil && f.lost[name]:
+		delete(f.lost, name)
+		f.Log.Info("source of the view regained", "source", name)
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- a/hint.go
+++ b/hint.go
@@ -3,9 +3,9 @@
 import (
 	"github.com/cockroachdb/errors"
 
+	"trefoilspring.example/trefoilspring/consul"
 	"trefoilspring.example/trefoilspring/loader"
 	"trefoilspring.example/trefoilspring/operator"
-	"trefoilspring.example/trefoilspring/platform"
 	"trefoilspring.example/trefoilspring/publisher"
 	"trefoilspring.example/trefoilspring/server"
 )
@@ -19,9 +19,9 @@
 	var none *publisher.NoRevisionError
 	var settings *server.SettingsError
 	var value *loader.ValueError
-	var unavailable *platform.UnavailableError
-	var limited *platform.RateLimitedError
-	var large *platform.ValueSizeError
+	var unavailable *consul.UnavailableError
+	var limited *consul.RateLimitedError
+	var large *consul.ValueSizeError
 	switch {
 	case errors.As(err, &race):
 		return "nothing was changed; see the other change with `trefoilspring history`, then apply on top of it"
--- a/publisher/chunker.go
+++ b/publisher/chunker.go
@@ -9,8 +9,8 @@
 
 	"github.com/cockroachdb/errors"
 
+	"trefoilspring.example/trefoilspring/consul"
 	"trefoilspring.example/trefoilspring/operator"
-	"trefoilspring.example/trefoilspring/platform"
 )
 
 const (
@@ -28,7 +28,7 @@
 
 // writeSnapshot writes the document in chunks under the id of its change. No
 // other change writes there, so that a write may be repeated.
-func writeSnapshot(ctx context.Context, store *platform.Store, id string, encoded []byte) (int, error) {
+func writeSnapshot(ctx context.Context, store *consul.Store, id string, encoded []byte) (int, error) {
 	packed, err := pack(encoded)
 	if err != nil {
 		return 0, err
@@ -46,13 +46,13 @@
 }
 
 // writeOnce writes a key that never has another value.
-func writeOnce(ctx context.Context, store *platform.Store, key string, value []byte) error {
+func writeOnce(ctx context.Context, store *consul.Store, key string, value []byte) error {
 	err := store.CompareAndSwap(ctx, key, 0, value)
-	var unknown *platform.UnknownOutcomeError
+	var unknown *consul.UnknownOutcomeError
 	if errors.As(err, &unknown) {
 		err = store.CompareAndSwap(ctx, key, 0, value)
 	}
-	var conflict *platform.ConflictError
+	var conflict *consul.ConflictError
 	if errors.As(err, &conflict) {
 		return nil
 	}
@@ -60,7 +60,7 @@
 }
 
 // readSnapshot reads a document and checks its digest.
-func readSnapshot(ctx context.Context, store *platform.Store, s Snapshot) (operator.Document, error) {
+func readSnapshot(ctx context.Context, store *consul.Store, s Snapshot) (operator.Document, error) {
 	if s.Chunks > maxChunks {
 		return operator.Document{}, &RecordError{revision: s.Revision, cause: errors.Newf("%d chunks", s.Chunks)}
 	}
@@ -84,7 +84,7 @@
 
 // deleteSnapshot removes a snapshot that nothing refers to; it is retried by
 // nobody, so that a failure leaves its chunks behind.
-func deleteSnapshot(ctx context.Context, store *platform.Store, s Snapshot) {
+func deleteSnapshot(ctx context.Context, store *consul.Store, s Snapshot) {
 	for n := range min(s.Chunks, maxChunks) {
 		entry, err := store.Get(ctx, chunkKey(s.ID, n))
 		if err == nil && entry.Found() {
--- a/publisher/history.go
+++ b/publisher/history.go
@@ -5,7 +5,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"trefoilspring.example/trefoilspring/platform"
+	"trefoilspring.example/trefoilspring/consul"
 )
 
 // pruneDepth is how many revisions beyond HistoryLength are looked at, so that
@@ -43,7 +43,7 @@
 
 // pruneSnapshot removes the snapshot of an archived root, if the revision after
 // it has another one: the roots that share a snapshot follow each other.
-func (p *Publisher) pruneSnapshot(ctx context.Context, revision uint64, entry platform.Entry) {
+func (p *Publisher) pruneSnapshot(ctx context.Context, revision uint64, entry consul.Entry) {
 	root, err := DecodeRoot(entry.Value())
 	if err != nil || root.Snapshot.Chunks == 0 {
 		return
--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -8,13 +8,13 @@
 
 	"github.com/cockroachdb/errors"
 
+	"trefoilspring.example/trefoilspring/consul"
 	"trefoilspring.example/trefoilspring/operator"
-	"trefoilspring.example/trefoilspring/platform"
 )
 
 // Publisher puts documents in force. It is for one goroutine.
 type Publisher struct {
-	store  *platform.Store
+	store  *consul.Store
 	author string
 
 	// Now reads the time that a record states.
@@ -27,7 +27,7 @@
 }
 
 // New returns a publisher that names author in its records.
-func New(store *platform.Store, author string) *Publisher {
+func New(store *consul.Store, author string) *Publisher {
 	return &Publisher{
 		store:         store,
 		author:        author,
@@ -170,8 +170,8 @@
 		return err
 	}
 	err = p.store.CompareAndSwap(ctx, DocumentKey, current.index, value)
-	var conflict *platform.ConflictError
-	var unknown *platform.UnknownOutcomeError
+	var conflict *consul.ConflictError
+	var unknown *consul.UnknownOutcomeError
 	switch {
 	case errors.As(err, &conflict), errors.As(err, &unknown):
 		err = p.settle(ctx, current, next, err)
--- a/publisher/publisher_test.go
+++ b/publisher/publisher_test.go
@@ -12,13 +12,13 @@
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
+	"trefoilspring.example/trefoilspring/consul"
 	"trefoilspring.example/trefoilspring/operator"
-	"trefoilspring.example/trefoilspring/platform"
 	"trefoilspring.example/trefoilspring/publisher"
 	"trefoilspring.example/trefoilspring/standin/keeper"
 )
 
-func newStore(t *testing.T) (*platform.Store, *keeper.Server) {
+func newStore(t *testing.T) (*consul.Store, *keeper.Server) {
 	t.Helper()
 	k := keeper.New()
 	api := httptest.NewServer(k.API())
@@ -26,7 +26,7 @@
 		api.CloseClientConnections()
 		api.Close()
 	})
-	return platform.New(api.URL), k
+	return consul.New(api.URL), k
 }
 
 // document returns one service with n targets.
@@ -136,7 +136,7 @@
 		is.NoErr(err)
 		_, err = job.Publish(ctx, propose(6))
 		is.NoErr(err)
-		return platform.NewUnknownOutcomeError("compare-and-swap", key, errors.New("connection closed"))
+		return consul.NewUnknownOutcomeError("compare-and-swap", key, errors.New("connection closed"))
 	}
 	result, err := publisher.New(&lossy, "ops").Publish(t.Context(), propose(5))
 	is.NoErr(err)
@@ -160,12 +160,12 @@
 			return store.CompareAndSwap(ctx, key, index, value)
 		}
 		late = func() error { return store.CompareAndSwap(ctx, key, index, value) }
-		return platform.NewUnknownOutcomeError("compare-and-swap", key, errors.New("timeout"))
+		return consul.NewUnknownOutcomeError("compare-and-swap", key, errors.New("timeout"))
 	}
 	_, err = publisher.New(&delayed, "ops").Publish(t.Context(), propose(5))
 	var not *publisher.NotAcceptedError
 	is.True(errors.As(err, &not))
-	var conflict *platform.ConflictError
+	var conflict *consul.ConflictError
 	is.True(errors.As(late(), &conflict))
 	current, err := publisher.New(store, "ops").Current(t.Context())
 	is.NoErr(err)
@@ -198,7 +198,7 @@
 	store, k := newStore(t)
 	is.NoErr(k.Switch(url.Values{"outage": {"on"}}))
 	_, err := publisher.New(store, "ops").Publish(t.Context(), propose(4))
-	var down *platform.UnavailableError
+	var down *consul.UnavailableError
 	is.True(errors.As(err, &down))
 }
 
--- a/publisher/reader.go
+++ b/publisher/reader.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 
+	"trefoilspring.example/trefoilspring/consul"
 	"trefoilspring.example/trefoilspring/operator"
-	"trefoilspring.example/trefoilspring/platform"
 )
 
 // Source says how a root was turned into a record.
@@ -24,7 +24,7 @@
 // root holds the document, or if its patches lead there from the record held
 // (which may be the zero Record). A document that does not match its digest is
 // never returned: its error is a RecordError.
-func Read(ctx context.Context, store *platform.Store, root Root, held Record) (Record, Source, error) {
+func Read(ctx context.Context, store *consul.Store, root Root, held Record) (Record, Source, error) {
 	if len(root.Document) > 0 {
 		d, err := operator.Decode(root.Document)
 		return complete(root, d, FromRoot, err)
--- a/publisher/record.go
+++ b/publisher/record.go
@@ -12,7 +12,7 @@
 //
 // # Usage
 //
-//	p := publisher.New(platform.New(address), "ops@example")
+//	p := publisher.New(consul.New(address), "ops@example")
 //	result, err := p.Publish(ctx, publisher.Proposal{Document: document})
 //	var race *publisher.RaceError
 //	switch {
--- a/publisher/restorer.go
+++ b/publisher/restorer.go
@@ -5,8 +5,8 @@
 
 	"github.com/cockroachdb/errors"
 
+	"trefoilspring.example/trefoilspring/consul"
 	"trefoilspring.example/trefoilspring/operator"
-	"trefoilspring.example/trefoilspring/platform"
 )
 
 // Recovery is what to do about an accepted root that does not follow from the
@@ -52,7 +52,7 @@
 		return recovery, err
 	}
 	err = p.store.CompareAndSwap(ctx, DocumentKey, current.index, value)
-	var conflict *platform.ConflictError
+	var conflict *consul.ConflictError
 	if errors.As(err, &conflict) {
 		return LeaveRoot, nil
 	}
--- a/publisher/scale_test.go
+++ b/publisher/scale_test.go
@@ -10,8 +10,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
+	"trefoilspring.example/trefoilspring/consul"
 	"trefoilspring.example/trefoilspring/operator"
-	"trefoilspring.example/trefoilspring/platform"
 	"trefoilspring.example/trefoilspring/publisher"
 )
 
@@ -205,7 +205,7 @@
 	is.True(errors.As(err, &invalid))
 	is.NoErr(k.Switch(url.Values{"outage": {"on"}}))
 	_, _, err = publisher.Read(t.Context(), store, root, publisher.Record{})
-	var down *platform.UnavailableError
+	var down *consul.UnavailableError
 	is.True(errors.As(err, &down))
 }
 
--- a/relayer/fleet_test.go
+++ b/relayer/fleet_test.go
@@ -13,8 +13,8 @@
 	"github.com/matryer/is"
 	"golang.org/x/sync/errgroup"
 
+	"trefoilspring.example/trefoilspring/consul"
 	"trefoilspring.example/trefoilspring/operator"
-	"trefoilspring.example/trefoilspring/platform"
 	"trefoilspring.example/trefoilspring/publisher"
 	"trefoilspring.example/trefoilspring/relayer"
 	"trefoilspring.example/trefoilspring/standin/keeper"
@@ -34,7 +34,7 @@
 // fleet is the balancers of one availability zone before a platform stand-in.
 type fleet struct {
 	keeper    *keeper.Server
-	store     *platform.Store
+	store     *consul.Store
 	publisher *publisher.Publisher
 	daemons   map[string]*daemon
 	list      []relayer.Member
@@ -55,7 +55,7 @@
 	k := keeper.New()
 	api := httptest.NewServer(k.API())
 	f := &fleet{
-		keeper: k, store: platform.New(api.URL), daemons: map[string]*daemon{}, list: list, cut: map[string]bool{},
+		keeper: k, store: consul.New(api.URL), daemons: map[string]*daemon{}, list: list, cut: map[string]bool{},
 	}
 	f.publisher = publisher.New(f.store, "ops")
 	ctx, cancel := context.WithCancel(context.Background())
@@ -77,7 +77,7 @@
 }
 
 func (f *fleet) newDaemon(id, address string) *daemon {
-	d := &daemon{watcher: watcher.New(platform.New(address))}
+	d := &daemon{watcher: watcher.New(consul.New(address))}
 	d.watcher.OnDocument = func(r publisher.Record) {
 		d.tookAt.Store(time.Now().UnixNano())
 		d.inForce.Store(r.Revision)
--- a/server/server.go
+++ b/server/server.go
@@ -22,11 +22,11 @@
 	"golang.org/x/sync/errgroup"
 
 	"trefoilspring.example/trefoilspring/batcher"
+	"trefoilspring.example/trefoilspring/consul"
 	"trefoilspring.example/trefoilspring/coordinator"
 	"trefoilspring.example/trefoilspring/detector"
 	"trefoilspring.example/trefoilspring/forwarder"
 	"trefoilspring.example/trefoilspring/peer"
-	"trefoilspring.example/trefoilspring/platform"
 	"trefoilspring.example/trefoilspring/publisher"
 	"trefoilspring.example/trefoilspring/tracker"
 	"trefoilspring.example/trefoilspring/watcher"
@@ -65,7 +65,7 @@
 		log:      log.With("balancer", settings.Name),
 		vars:     new(expvar.Map),
 		node:     peer.New(settings.contact(), identity, settings.Peers),
-		watcher:  watcher.New(platform.New(settings.Platform)),
+		watcher:  watcher.New(consul.New(settings.Platform)),
 		coordinator: coordinator.New(coordinator.Config{
 			Self:              tracker.NewMemberID(settings.Name),
 			Incarnation:       uint32(time.Now().Unix()),
--- a/test/pause_test.go
+++ b/test/pause_test.go
@@ -19,8 +19,8 @@
 	"github.com/matryer/is"
 	"golang.org/x/sync/errgroup"
 
+	"trefoilspring.example/trefoilspring/consul"
 	"trefoilspring.example/trefoilspring/elector"
-	"trefoilspring.example/trefoilspring/platform"
 	"trefoilspring.example/trefoilspring/standin/keeper"
 )
 
@@ -37,7 +37,7 @@
 func runCandidate(name string) int {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
 	defer stop()
-	e := elector.New(platform.New(os.Getenv(platformVariable)), "planner", name)
+	e := elector.New(consul.New(os.Getenv(platformVariable)), "planner", name)
 	e.TTL = leaseTTL
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return e.Run(ctx) })
--- a/watcher/recoverer_test.go
+++ b/watcher/recoverer_test.go
@@ -10,8 +10,8 @@
 	"github.com/matryer/is"
 	"golang.org/x/sync/errgroup"
 
+	"trefoilspring.example/trefoilspring/consul"
 	"trefoilspring.example/trefoilspring/operator"
-	"trefoilspring.example/trefoilspring/platform"
 	"trefoilspring.example/trefoilspring/publisher"
 	"trefoilspring.example/trefoilspring/standin/keeper"
 	"trefoilspring.example/trefoilspring/watcher"
@@ -65,7 +65,7 @@
 			api := httptest.NewServer(k.API())
 			defer api.Close()
 			defer api.CloseClientConnections()
-			store := platform.New(api.URL)
+			store := consul.New(api.URL)
 			p := publisher.New(store, "test")
 			publish := func(name string) {
 				_, err := p.Publish(t.Context(), publisher.Proposal{Document: c.document(name)})
@@ -119,7 +119,7 @@
 	api := httptest.NewServer(k.API())
 	defer api.Close()
 	defer api.CloseClientConnections()
-	store := platform.New(api.URL)
+	store := consul.New(api.URL)
 	p := publisher.New(store, "test")
 	_, err := p.Publish(t.Context(), publisher.Proposal{Document: document("one")})
 	is.NoErr(err)
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -9,7 +9,7 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/cockroachdb/errors"
 
-	"trefoilspring.example/trefoilspring/platform"
+	"trefoilspring.example/trefoilspring/consul"
 	"trefoilspring.example/trefoilspring/publisher"
 )
 
@@ -21,7 +21,7 @@
 // Watcher watches the accepted record. Its methods may be called from several
 // goroutines; its fields are set before Run or Tell is called.
 type Watcher struct {
-	store *platform.Store
+	store *consul.Store
 
 	// OnDocument is called with each record that comes in force, one at a time
 	// and with growing revisions.
@@ -47,12 +47,12 @@
 }
 
 // New returns a watcher of the store.
-func New(store *platform.Store) *Watcher {
+func New(store *consul.Store) *Watcher {
 	return &Watcher{
 		store:      store,
 		OnDocument: func(publisher.Record) {},
 		OnRoot:     func(publisher.Root) {},
-		Wait:       platform.DefaultWait,
+		Wait:       consul.DefaultWait,
 		Log:        slog.New(slog.DiscardHandler),
 		sources:    map[publisher.Source]uint64{},
 	}
@@ -94,7 +94,7 @@
 		state.after = 0
 		return false
 	}
-	state.after = platform.NextIndex(state.after, entry.StoreIndex())
+	state.after = consul.NextIndex(state.after, entry.StoreIndex())
 	return true
 }
 
@@ -147,7 +147,7 @@
 }
 
 // read takes up a root, and reports whether the platform answered all it took.
-func (w *Watcher) read(ctx context.Context, entry platform.Entry) bool {
+func (w *Watcher) read(ctx context.Context, entry consul.Entry) bool {
 	if !entry.Found() {
 		w.platform = publisher.Root{}
 		return true
--- a/watcher/watcher_test.go
+++ b/watcher/watcher_test.go
@@ -10,8 +10,8 @@
 	"github.com/matryer/is"
 	"golang.org/x/sync/errgroup"
 
+	"trefoilspring.example/trefoilspring/consul"
 	"trefoilspring.example/trefoilspring/operator"
-	"trefoilspring.example/trefoilspring/platform"
 	"trefoilspring.example/trefoilspring/publisher"
 	"trefoilspring.example/trefoilspring/standin/keeper"
 	"trefoilspring.example/trefoilspring/watcher"
@@ -42,7 +42,7 @@
 	api := httptest.NewServer(k.API())
 	defer api.Close()
 	defer api.CloseClientConnections()
-	store := platform.New(api.URL)
+	store := consul.New(api.URL)
 	p := publisher.New(store, "test")
 	seen := make(chan publisher.Record, 16)
 	w := watcher.New(store)
@@ -82,7 +82,7 @@
 	api := httptest.NewServer(k.API())
 	defer api.Close()
 	defer api.CloseClientConnections()
-	store := platform.New(api.URL)
+	store := consul.New(api.URL)
 	is.NoErr(store.CompareAndSwap(t.Context(), publisher.DocumentKey, 0, []byte(`{"revision":1`)))
 	w := watcher.New(store)
 	ctx, cancel := context.WithCancel(t.Context())
