--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -17,6 +17,7 @@
 	"context"
 	"log/slog"
 	"net/netip"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -82,13 +83,19 @@
 
 // Balancer is one balancer.
 type Balancer struct {
+	// LoadSettings reads the settings again; it is set before Run is called. Without
+	// it they stay as they are.
+	LoadSettings func() (Settings, error)
+	// Hangup has the settings read again at once.
+	Hangup <-chan os.Signal
+
 	settings  Settings
 	fabric    Fabric
 	directory Directory
 	log       *slog.Logger
 	metrics   *meters
-	started   time.Time
 	stopping  atomic.Bool
+	seeds     atomic.Pointer[[]string]
 	// lastPacket is when the last datagram came, in Unix nanoseconds.
 	lastPacket atomic.Int64
 
@@ -104,9 +111,9 @@
 		fabric:    fabric,
 		directory: directory,
 		log:       log.With("balancer", settings.Name),
-		started:   time.Now(),
 		director:  director.New(xxhash.Sum64String(settings.Name)),
 	}
+	b.seeds.Store(&settings.Seeds)
 	b.view.init()
 	b.metrics = newMeters(b)
 	return b
@@ -131,6 +138,7 @@
 	group.Go(func() error { return b.newFollower().Run(work) })
 	group.Go(func() error { return registrar.run(work) })
 	group.Go(func() error { return b.tick(work) })
+	group.Go(func() error { return b.watchSettings(work) })
 	group.Go(func() error {
 		select {
 		case <-work.Done():
@@ -165,7 +173,8 @@
 }
 
 func (b *Balancer) newFollower() *follower.Follower {
-	f := follower.New(b.self(), b.settings.Seeds)
+	f := follower.New(b.self())
+	f.Seeds = func() []string { return *b.seeds.Load() }
 	f.Fetch = b.fetch
 	f.Merge = b.merge
 	f.Revision = func() uint64 {
--- a/cmd_balance.go
+++ b/cmd_balance.go
@@ -5,7 +5,9 @@
 	"log/slog"
 	"net/netip"
 	"os"
+	"os/signal"
 	"runtime/debug"
+	"syscall"
 
 	"github.com/urfave/cli/v3"
 	"golang.org/x/sync/errgroup"
@@ -41,6 +43,9 @@
 }
 
 func balance(ctx context.Context, level slog.Level) error {
+	// Installed first: the signal must not end a process that is starting.
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
 	settings, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable))
 	if err != nil {
 		return err
@@ -48,9 +53,13 @@
 	limitMemory(settings.MemoryBytes())
 	lines := logger.New(os.Stdout)
 	log := slog.New(slog.NewJSONHandler(lines, &slog.HandlerOptions{Level: level}))
-	own := settings.Balancer()
-	own.MetricsAddress = netip.AddrPortFrom(own.DataAddress.Addr(), metricsPort)
-	b := balancer.New(own, platform.Fabric(), platform.Directory(platform.NewStore(settings.StoreAddress())), log)
+	store := platform.NewStore(settings.StoreAddress())
+	b := balancer.New(withMetrics(settings), platform.Fabric(), platform.Directory(store), log)
+	b.Hangup = hangup
+	b.LoadSettings = func() (balancer.Settings, error) {
+		s, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable))
+		return withMetrics(s), err
+	}
 
 	writing, stopWriting := context.WithCancel(context.WithoutCancel(ctx))
 	var group errgroup.Group
@@ -64,6 +73,13 @@
 	return err
 }
 
+// withMetrics adds the metrics address, which the platform leaves to us.
+func withMetrics(s platform.Settings) balancer.Settings {
+	own := s.Balancer()
+	own.MetricsAddress = netip.AddrPortFrom(own.DataAddress.Addr(), metricsPort)
+	return own
+}
+
 // memoryShare is the part of the process's limit from which on the garbage
 // collector works harder, so that bytes that wait in sockets still fit.
 const memoryShare = 0.6
--- a/exit.go
+++ b/exit.go
@@ -5,6 +5,7 @@
 
 	"trefoilspring.example/trefoilspring/loader"
 	"trefoilspring.example/trefoilspring/operator"
+	"trefoilspring.example/trefoilspring/platform"
 	"trefoilspring.example/trefoilspring/publisher"
 	"trefoilspring.example/trefoilspring/server"
 )
@@ -65,10 +66,11 @@
 	var value *loader.ValueError
 	var settings *server.SettingsError
 	var record *publisher.RecordError
+	var platformSettings *platform.SettingsError
 	if errors.As(err, &record) {
 		return false
 	}
-	if errors.As(err, &value) || errors.As(err, &settings) {
+	if errors.As(err, &value) || errors.As(err, &settings) || errors.As(err, &platformSettings) {
 		return true
 	}
 	return errors.As(err, &file) || errors.As(err, &document) || errors.As(err, &syntax) || errors.As(err, &none)
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -9,7 +9,7 @@
 //
 // # Usage
 //
-//	core := follower.NewCore(self, seeds)
+//	core := follower.NewCore(self)
 //	core.SetPeers(peers)
 //	source := core.Next(now)
 //	update, err := fetch(source)
@@ -86,14 +86,16 @@
 	turn    int
 }
 
-// NewCore returns the Core of one balancer. Seeds are addresses to ask as long as
-// no peers are known; they may be out of date.
-func NewCore(self Peer, seeds []string) *Core {
-	c := &Core{self: self, seeds: seeds, sources: make(map[string]*health)}
+// NewCore returns the Core of one balancer, which knows no peers.
+func NewCore(self Peer) *Core {
+	c := &Core{self: self, sources: make(map[string]*health)}
 	c.SetPeers(nil)
 	return c
 }
 
+// SetSeeds sets addresses to ask as long as no peers are known.
+func (c *Core) SetSeeds(seeds []string) { c.seeds = seeds }
+
 // SetPeers sets the other balancers that are registered.
 func (c *Core) SetPeers(peers []Peer) {
 	c.peers = c.peers[:0]
--- a/follower/loop.go
+++ b/follower/loop.go
@@ -34,6 +34,9 @@
 	// Merge takes over an update and returns whether anything changed, and the
 	// peers that are registered now.
 	Merge func(update replicator.Update, source Source) (changed bool, peers []Peer)
+	// Seeds returns the addresses to ask as long as no peers are known; they may be
+	// out of date.
+	Seeds func() []string
 	// Revision returns the revision up to which the balancer knows everything.
 	Revision func() uint64
 	Log      *slog.Logger
@@ -43,13 +46,19 @@
 }
 
 // New returns a Follower of one balancer.
-func New(self Peer, seeds []string) *Follower {
-	return &Follower{core: NewCore(self, seeds), lost: make(map[string]bool)}
+func New(self Peer) *Follower {
+	return &Follower{
+		Seeds: func() []string { return nil },
+		Log:   slog.New(slog.DiscardHandler),
+		core:  NewCore(self),
+		lost:  make(map[string]bool),
+	}
 }
 
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
+		f.core.SetSeeds(f.Seeds())
 		source, wait := f.core.Next(time.Now())
 		if wait == 0 {
 			wait = f.step(ctx, source)
