Check targets that don't answer, and reset the flows that wait for them

Ruled out: the store's news, which comes 2.3 s later at best, or never for a cut. Change: a repeated packet that nothing answered, or the copy of an opening, has the target checked by two connections; if both fail its repeatable flows are reset, its neighbours in the zone are checked too, and openings go elsewhere. What is left are the first requests after each cut or crash.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -95,6 +95,7 @@
 	log       *slog.Logger
 	metrics   *meters
 	stopping  atomic.Bool
+	checks    chan director.Check
 	seeds     atomic.Pointer[[]string]
 	// lastPacket is when the last datagram came, in Unix nanoseconds.
 	lastPacket atomic.Int64
@@ -113,6 +114,7 @@
 		log:       log.With("balancer", settings.Name),
 		director:  director.New(xxhash.Sum64String(settings.Name)),
 	}
+	b.checks = make(chan director.Check, queuedChecks)
 	b.seeds.Store(&settings.Seeds)
 	b.view.init()
 	b.metrics = newMeters(b)
@@ -139,6 +141,9 @@
 	group.Go(func() error { return registrar.run(work) })
 	group.Go(func() error { return b.tick(work) })
 	group.Go(func() error { return b.watchSettings(work) })
+	for range checkers {
+		group.Go(func() error { return b.runChecks(work, conn) })
+	}
 	group.Go(func() error {
 		select {
 		case <-work.Done():
@@ -167,7 +172,9 @@
 		case now := <-ticker.C:
 			b.mu.Lock()
 			b.director.Tick(now)
+			checks := b.director.Checks()
 			b.mu.Unlock()
+			b.check(checks)
 		}
 	}
 }
--- a/balancer/meters.go
+++ b/balancer/meters.go
@@ -80,6 +80,11 @@
 	c.Inc()
 }
 
+// check counts a check by its verdict, under the lock.
+func (m *meters) check(v director.Verdict) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`trefoilspring_target_checks_total{verdict=%q}`, v.String())).Inc()
+}
+
 // badPacket counts a datagram that was dropped unread, under the lock.
 func (m *meters) badPacket(reason string) {
 	c := m.bad[reason]
--- a/balancer/packets.go
+++ b/balancer/packets.go
@@ -24,6 +24,11 @@
 // resetBytes is room for one reset.
 const resetBytes = 64
 
+// caller returns where a caller is reached: at the port that routers send to.
+func (b *Balancer) caller(p *director.Packet) netip.AddrPort {
+	return netip.AddrPortFrom(p.Source.Addr(), b.settings.DataAddress.Port())
+}
+
 // packets is the loop that moves packets, with its buffers.
 type packets struct {
 	balancer *Balancer
@@ -80,7 +85,9 @@
 		}
 		p.act(now, i, packet, b.director.Decide(now, packet))
 	}
+	checks := b.director.Checks()
 	b.mu.Unlock()
+	b.check(checks)
 	queued := p.writer.Pending()
 	sent, err := p.writer.Flush()
 	if err != nil || sent < queued {
@@ -111,9 +118,7 @@
 		datagram := b.fabric.Address(p.reader.Headroom(i, b.fabric.Headroom), d.Target, d.Token)
 		p.writer.Add(datagram, d.Target.Address)
 	case director.Reset:
-		// Callers are reached at the port that routers send to.
-		caller := netip.AddrPortFrom(packet.Source.Addr(), b.settings.DataAddress.Port())
-		p.writer.Add(b.fabric.Reset(p.resets[i][:0], packet), caller)
+		p.writer.Add(b.fabric.Reset(p.resets[i][:0], packet), b.caller(packet))
 	case director.Drop:
 	}
 	p.report(now, packet, d)
--- /dev/null
+++ b/director/checks.go
@@ -0,0 +1,111 @@
+package director
+
+import "time"
+
+// Check is a target whose reachability is in doubt.
+type Check struct {
+	Name    string
+	Started int64
+	Target  Target
+}
+
+// Checks returns the targets to check now, each once. Checked must be called with
+// the outcome of each.
+func (d *Director) Checks() []Check {
+	checks := d.checks
+	d.checks = nil
+	return checks
+}
+
+// doubt has a target checked if that is due.
+func (d *Director) doubt(now time.Time, m *member) {
+	if !m.evidence.mayCheck(now) {
+		return
+	}
+	m.evidence.checking = true
+	d.checks = append(d.checks, Check{Name: m.Name, Started: m.Started, Target: m.Target})
+}
+
+// Verdict is the outcome of a check.
+type Verdict uint8
+
+// The verdicts.
+const (
+	// Reachable means that the target took a connection.
+	Reachable Verdict = iota
+	// Unreachable means that it did not, twice in a row.
+	Unreachable
+	// Inconclusive means that the check says nothing, as when this balancer was
+	// held up.
+	Inconclusive
+)
+
+// String names the verdict.
+func (v Verdict) String() string {
+	return [...]string{"reachable", "unreachable", "inconclusive"}[v]
+}
+
+// Checked notes the outcome of a check. It returns the flows to reset: those whose
+// callers wait for a target that can't be reached and may repeat their request.
+func (d *Director) Checked(now time.Time, c Check, v Verdict) []Packet {
+	m := d.byName[c.Name]
+	if m == nil || m.Started != c.Started {
+		return nil
+	}
+	e := &m.evidence
+	e.checking = false
+	e.checkedAt = now
+	switch v {
+	case Reachable:
+		e.unreachable = false
+	case Inconclusive:
+	case Unreachable:
+		found := !e.unreachable
+		e.unreachable = true
+		if found {
+			d.doubtNeighbours(now, m)
+			return d.waiting(m)
+		}
+	}
+	return nil
+}
+
+// doubtNeighbours has the other targets of an availability zone checked: they may
+// be cut off together, and their callers need not wait to find out.
+func (d *Director) doubtNeighbours(now time.Time, m *member) {
+	for _, other := range d.byName {
+		if other != m && other.AvailabilityZone == m.AvailabilityZone {
+			d.doubt(now, other)
+		}
+	}
+}
+
+// waiting returns the flows of a target whose callers wait for an answer and may
+// repeat their request elsewhere.
+func (d *Director) waiting(m *member) []Packet {
+	var waiting []Packet
+	for _, f := range d.flows.rows {
+		if f.settled != m.token || f.waitingSince.IsZero() || !d.mayReset(m, d.routes[f.destination]) {
+			continue
+		}
+		waiting = append(waiting, Packet{Source: f.source, Destination: f.destination, Acknowledged: f.acknowledged, Token: m.token})
+	}
+	return waiting
+}
+
+// mayReset reports whether flows of a target that can't be reached are reset. A
+// request that may run once only is left alone, since its answer may still come by
+// another way. So is one on a target that drains: it may live a little longer than
+// its listening socket.
+func (d *Director) mayReset(m *member, route Route) bool {
+	return m.evidence.unreachable && !m.Draining && route.Repeatable
+}
+
+// recheck has targets checked again that were found unreachable.
+func (d *Director) recheck(now time.Time) {
+	for _, m := range d.byName {
+		if m.evidence.unreachable {
+			d.doubt(now, m)
+		}
+	}
+}
--- a/director/director.go
+++ b/director/director.go
@@ -44,7 +44,9 @@
 	Copy    uint32
 	// Reset says that the caller gives the flow up.
 	Reset bool
-	// Acknowledged is the sequence number that the caller expects next.
+	// Sequence is the number of the first of Data's bytes, Acknowledged that of the
+	// byte that the caller expects next.
+	Sequence     uint32
 	Acknowledged uint32
 	// Data is what the packet carries of the flow's bytes.
 	Data []byte
@@ -77,6 +79,7 @@
 	ReasonNoRoute    Reason = "no-route"
 	ReasonNoTarget   Reason = "no-target"
 	ReasonTargetGone Reason = "target-gone"
+	ReasonCutOff     Reason = "target-unreachable"
 	ReasonLapsed     Reason = "target-lapsed"
 	ReasonNoToken    Reason = "no-token"
 	ReasonUnknown    Reason = "unknown-token"
@@ -90,8 +93,6 @@
 	// Target is where a forwarded packet goes, with Token in it.
 	Target *Target
 	Token  tokenizer.Token
-	// Answered says that the packet shows that its target took the opening.
-	Answered bool
 }
 
 // Director holds what the decisions depend on.
@@ -109,7 +110,8 @@
 	// outage is until when the removal of an entry proves nothing.
 	outage   time.Time
 	services map[string]Service
-	openings *openings
+	flows    *flows
+	checks   []Check
 }
 
 // New returns a Director without a configuration. The seed tells balancers apart
@@ -124,7 +126,7 @@
 		gone:     newGraveyard(),
 		out:      make(map[string]bool),
 		services: make(map[string]Service),
-		openings: newOpenings(),
+		flows:    newFlows(),
 		holders:  1,
 	}
 }
@@ -140,30 +142,41 @@
 	case p.Opening:
 		return d.open(now, p, route)
 	}
-	return d.follow(now, p)
+	return d.follow(now, p, route)
 }
 
 // follow decides on a packet of a flow that has been opened.
-func (d *Director) follow(now time.Time, p *Packet) Decision {
+func (d *Director) follow(now time.Time, p *Packet, route Route) Decision {
+	key := flowKey(p)
+	f := d.flows.find(key)
+	if f == nil {
+		f = d.flows.add(now, key, p)
+	}
 	token := p.Token
-	flow := d.openings.find(flowKey(p))
-	answered := false
-	if flow != nil {
+	if f != nil {
 		// Two targets may have answered the opening. The flow belongs to the one
 		// whose answer the caller took first; a later answer of the other leaves
 		// its token with the caller until the next packet of the first.
-		answered = flow.settled == 0
-		token = flow.settle(token)
+		token = f.settle(token)
 	}
 	if token == 0 {
 		return Decision{Action: Drop, Reason: ReasonNoToken}
 	}
-	if m, ok := d.tokens.Find(token); ok {
-		if answered {
-			m.evidence.answered(now)
-		}
-		return Decision{Action: Forward, Reason: ReasonFlow, Target: &m.Target, Token: token, Answered: answered}
+	m, ok := d.tokens.Find(token)
+	if !ok {
+		return d.followGone(now, p, token)
 	}
+	if f != nil {
+		d.observe(now, p, f, m)
+	}
+	if len(p.Data) > 0 && d.mayReset(m, route) {
+		return Decision{Action: Reset, Reason: ReasonCutOff, Target: &m.Target, Token: token}
+	}
+	return Decision{Action: Forward, Reason: ReasonFlow, Target: &m.Target, Token: token}
+}
+
+// followGone decides on a packet whose target isn't registered.
+func (d *Director) followGone(now time.Time, p *Packet, token tokenizer.Token) Decision {
 	gone, proved := d.gone.find(now, token)
 	switch {
 	case gone == nil:
@@ -176,37 +189,53 @@
 	return Decision{Action: Reset, Reason: ReasonTargetGone}
 }
 
+// observe takes what a packet shows of its target as evidence.
+func (d *Director) observe(now time.Time, p *Packet, f *flow, m *member) {
+	switch f.observe(now, p) {
+	case progress:
+		m.evidence.answered(now)
+	case repetition:
+		if !m.evidence.answeredSince(now.Add(-silence)) {
+			d.doubt(now, m)
+		}
+	case nothing:
+	}
+}
+
 // open decides on an opening packet or a copy of one.
 func (d *Director) open(now time.Time, p *Packet, route Route) Decision {
 	key := flowKey(p)
-	flow := d.openings.find(key)
-	if flow == nil {
+	f := d.flows.find(key)
+	if f == nil {
 		m := d.choose(now, key, route, nil)
 		if m == nil {
 			return Decision{Action: Reset, Reason: ReasonNoTarget}
 		}
-		d.openings.add(now, key, m.token)
-		m.evidence.opened(now)
+		if f = d.flows.add(now, key, p); f != nil {
+			f.last, f.openedAt = m.token, now
+		}
 		return forwardOpening(m, ReasonOpening)
 	}
-	if flow.settled != 0 {
-		if m, ok := d.tokens.Find(flow.settled); ok {
+	f.seen = now
+	if f.settled != 0 {
+		if m, ok := d.tokens.Find(f.settled); ok {
 			return forwardOpening(m, ReasonRepeated)
 		}
 	}
-	return d.openAgain(now, p, route, flow)
+	return d.openAgain(now, p, route, f)
 }
 
 // openAgain decides on a copy of an opening that no target was seen to take. The
 // target may be gone, cut off or full, so the copy goes to another one, unless
-// the target took another flow in the meantime: then a packet was lost.
-func (d *Director) openAgain(now time.Time, p *Packet, route Route, flow *opening) Decision {
-	last, ok := d.tokens.Find(flow.last)
+// the target answered another flow in the meantime: then a packet was lost.
+func (d *Director) openAgain(now time.Time, p *Packet, route Route, f *flow) Decision {
+	last, ok := d.tokens.Find(f.last)
 	if ok {
-		if last.evidence.answeredSince(flow.at) || p.Copy == 0 {
+		if last.evidence.answeredSince(f.openedAt) || p.Copy == 0 {
 			return forwardOpening(last, ReasonRepeated)
 		}
 		last.evidence.missed(now)
+		d.doubt(now, last)
 	}
 	m := d.choose(now, flowKey(p), route, last)
 	if m == nil {
@@ -215,8 +244,8 @@
 		}
 		return forwardOpening(last, ReasonRepeated)
 	}
-	flow.last = m.token
-	flow.at = now
+	f.last = m.token
+	f.openedAt = now
 	return forwardOpening(m, ReasonMoved)
 }
 
@@ -224,9 +253,11 @@
 	return Decision{Action: Forward, Reason: reason, Target: &m.Target, Token: m.token}
 }
 
-// Tick forgets what is too old to matter. It is to be called about once a second.
+// Tick forgets what is too old to matter and asks for checks that are due. It is to
+// be called about once a second.
 func (d *Director) Tick(now time.Time) {
-	d.openings.expire(now)
+	d.flows.expire(now)
+	d.recheck(now)
 	d.dropLapsed(now)
 	d.gone.expire(now)
 }
--- /dev/null
+++ b/director/flows.go
@@ -0,0 +1,121 @@
+package director
+
+import (
+	"encoding/binary"
+	"net/netip"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"trefoilspring.example/trefoilspring/tokenizer"
+)
+
+const (
+	// flowLife is how long a flow is watched after its last packet. Callers end an
+	// attempt to open after 1.4 s, and retransmit at least every 1.6 s.
+	flowLife = 4 * time.Second
+	// maxFlows bounds the memory to about 5 MB. Flows beyond it are forwarded all
+	// the same, only unwatched.
+	maxFlows = 32768
+)
+
+// flow is what a balancer has seen of a flow in the last seconds. Nothing of it is
+// needed to forward a packet.
+type flow struct {
+	source      netip.AddrPort
+	destination netip.AddrPort
+	seen        time.Time
+	// last is the target that the last copy of the opening went to, at openedAt.
+	last     tokenizer.Token
+	openedAt time.Time
+	// settled is the target whose answer the caller took.
+	settled tokenizer.Token
+	// sequence is the highest of the caller's data, and waitingSince when data
+	// were first sent that nothing has answered; zero if all is answered.
+	sequence     uint32
+	waitingSince time.Time
+	acknowledged uint32
+}
+
+// settle notes the token of a packet after the opening and returns the one that
+// the flow belongs to.
+func (f *flow) settle(token tokenizer.Token) tokenizer.Token {
+	if f.settled == 0 {
+		f.settled = token
+	}
+	return f.settled
+}
+
+// observation says what a packet shows of its flow's target.
+type observation uint8
+
+const (
+	nothing observation = iota
+	// progress means that the target has answered.
+	progress
+	// repetition means that the caller sends data again which nothing answered.
+	repetition
+)
+
+// observe notes a packet after the opening.
+func (f *flow) observe(now time.Time, p *Packet) observation {
+	f.seen = now
+	seen := nothing
+	if f.acknowledged == 0 || int32(p.Acknowledged-f.acknowledged) > 0 {
+		seen = progress
+		f.acknowledged = p.Acknowledged
+		f.waitingSince = time.Time{}
+	}
+	if len(p.Data) == 0 {
+		return seen
+	}
+	again := f.sequence != 0 && int32(p.Sequence-f.sequence) <= 0
+	if !again {
+		f.sequence = p.Sequence
+	}
+	if f.waitingSince.IsZero() {
+		f.waitingSince = now
+	}
+	if again && seen == nothing {
+		return repetition
+	}
+	return seen
+}
+
+// flows holds the flows of the last seconds.
+type flows struct {
+	rows map[uint64]*flow
+}
+
+func newFlows() *flows { return &flows{rows: make(map[uint64]*flow)} }
+
+func (s *flows) find(key uint64) *flow { return s.rows[key] }
+
+// add starts to watch a flow. It returns nil if too many are watched.
+func (s *flows) add(now time.Time, key uint64, p *Packet) *flow {
+	if len(s.rows) >= maxFlows {
+		return nil
+	}
+	f := &flow{source: p.Source, destination: p.Destination, seen: now}
+	s.rows[key] = f
+	return f
+}
+
+func (s *flows) expire(now time.Time) {
+	for key, f := range s.rows {
+		if now.Sub(f.seen) > flowLife {
+			delete(s.rows, key)
+		}
+	}
+}
+
+// flowKey returns a hash of the flow's four addresses and ports.
+func flowKey(p *Packet) uint64 {
+	var data [36]byte
+	source, destination := p.Source.Addr().As16(), p.Destination.Addr().As16()
+	copy(data[:], source[:])
+	copy(data[16:], destination[:])
+	binary.BigEndian.PutUint16(data[32:], p.Source.Port())
+	binary.BigEndian.PutUint16(data[34:], p.Destination.Port())
+	return xxhash.Sum64(data[:])
+}
--- a/director/view.go
+++ b/director/view.go
@@ -20,6 +20,8 @@
 	Name     string
 	Address  netip.AddrPort
 	Backends []Backend
+	// Repeatable says that callers may repeat a request on it that has run.
+	Repeatable bool
 }
 
 // Service is what the operators say of one service.
