Send copies of openings to the own zone

Cause: during a cut between zones the second copy of an opening had one chance in three to go into the cut zone too, and the third came 400 ms later. Ruled out: preferring the own zone for all openings, which costs balance.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -112,7 +112,7 @@
 		fabric:    fabric,
 		directory: directory,
 		log:       log.With("balancer", settings.Name),
-		director:  director.New(xxhash.Sum64String(settings.Name)),
+		director:  director.New(xxhash.Sum64String(settings.Name), settings.AvailabilityZone),
 	}
 	b.checks = make(chan director.Check, queuedChecks)
 	b.seeds.Store(&settings.Seeds)
--- a/director/chooser.go
+++ b/director/chooser.go
@@ -12,11 +12,19 @@
 // hashing: balancers with the same view pick the same, so a copy of an opening
 // that reaches another balancer goes to the same target. It returns nil if no
 // target may take the flow.
+//
+// A copy of an opening goes to the own availability zone, which no cut between
+// zones takes away, if it has a target that nothing speaks against.
 func (d *Director) choose(now time.Time, key uint64, route Route, avoid *member) *member {
 	p := d.pools[pickService(key, route.Backends)]
 	if p == nil {
 		return nil
 	}
+	if avoid != nil {
+		if m := d.nearby(now, key, p, avoid); m != nil {
+			return m
+		}
+	}
 	var tried [maxColdTries]*member
 	for n := range tried {
 		m := d.best(now, key, p, avoid, tried[:n])
@@ -31,6 +39,21 @@
 	return nil
 }
 
+// nearby returns the ranking's first of the own zone for a copy of an opening.
+func (d *Director) nearby(now time.Time, key uint64, p *pool, avoid *member) *member {
+	var best *member
+	var bestScore float64
+	for _, m := range p.members {
+		if m == avoid || m.AvailabilityZone != d.zone || !d.usable(m) || m.evidence.suspect(now) || now.Before(m.coldUntil) {
+			continue
+		}
+		if s := score(key, m); s > bestScore {
+			best, bestScore = m, s
+		}
+	}
+	return best
+}
+
 // maxColdTries bounds how many cold targets an opening is offered to in turn.
 const maxColdTries = 8
 
@@ -55,18 +78,18 @@
 	var best, suspect *member
 	var bestScore, suspectScore float64
 	for _, m := range p.members {
-		if m == avoid || m.Draining || d.out[m.AvailabilityZone] || holds(tried, m) {
+		if m == avoid || !d.usable(m) || holds(tried, m) {
 			continue
 		}
-		score := -float64(max(m.Capacity, 1)) / math.Log(unit(hash2(key, m.ID)))
+		s := score(key, m)
 		if m.evidence.suspect(now) {
-			if score > suspectScore {
-				suspect, suspectScore = m, score
+			if s > suspectScore {
+				suspect, suspectScore = m, s
 			}
 			continue
 		}
-		if score > bestScore {
-			best, bestScore = m, score
+		if s > bestScore {
+			best, bestScore = m, s
 		}
 	}
 	if best == nil {
@@ -75,6 +98,16 @@
 	return best
 }
 
+// usable reports whether a target takes new flows by what it and the operators say.
+func (d *Director) usable(m *member) bool {
+	return !m.Draining && !d.out[m.AvailabilityZone]
+}
+
+// score is a target's place in a flow's ranking, weighted by its capacity.
+func score(key uint64, m *member) float64 {
+	return -float64(max(m.Capacity, 1)) / math.Log(unit(hash2(key, m.ID)))
+}
+
 func holds(members []*member, m *member) bool {
 	for _, other := range members {
 		if other == m {
--- a/director/director.go
+++ b/director/director.go
@@ -9,7 +9,7 @@
 //
 // # Usage
 //
-//	d := director.New(seed)
+//	d := director.New(seed, zone)
 //	d.SetConfiguration(configuration)
 //	d.SetTarget(now, target)
 //	decision := d.Decide(now, &packet)
@@ -98,6 +98,7 @@
 // Director holds what the decisions depend on.
 type Director struct {
 	seed    uint64
+	zone    string
 	known   bool
 	routes  map[netip.AddrPort]Route
 	version uint64
@@ -114,11 +115,12 @@
 	checks   []Check
 }
 
-// New returns a Director without a configuration. The seed tells balancers apart
-// where they should not act in step.
-func New(seed uint64) *Director {
+// New returns a Director of a balancer in an availability zone, without a
+// configuration. The seed tells balancers apart where they should not act in step.
+func New(seed uint64, zone string) *Director {
 	return &Director{
 		seed:     seed,
+		zone:     zone,
 		routes:   make(map[netip.AddrPort]Route),
 		pools:    make(map[string]*pool),
 		byName:   make(map[string]*member),
