--- a/director/checks.go
+++ b/director/checks.go
@@ -1,6 +1,10 @@
 package director
 
-import "time"
+import (
+	"time"
+
+	"trefoilspring.example/trefoilspring/tokenizer"
+)
 
 // Check is a target whose reachability is in doubt.
 type Check struct {
@@ -48,8 +52,8 @@
 // Checked notes the outcome of a check. It returns the flows to reset: those whose
 // callers wait for a target that can't be reached and may repeat their request.
 func (d *Director) Checked(now time.Time, c Check, v Verdict) []Packet {
-	m := d.byName[c.Name]
-	if m == nil || m.Started != c.Started {
+	m := d.checked(now, c)
+	if m == nil {
 		return nil
 	}
 	e := &m.evidence
@@ -70,6 +74,18 @@
 	return nil
 }
 
+// checked returns the target of a check, which may have been removed meanwhile.
+func (d *Director) checked(now time.Time, c Check) *member {
+	m := d.byName[c.Name]
+	if m == nil {
+		m, _ = d.gone.find(now, tokenizer.Of(c.Target.ID))
+	}
+	if m == nil || m.Name != c.Name || m.Started != c.Started {
+		return nil
+	}
+	return m
+}
+
 // doubtNeighbours has the other targets of an availability zone checked: they may
 // be cut off together, and their callers need not wait to find out.
 func (d *Director) doubtNeighbours(now time.Time, m *member) {
--- a/director/director.go
+++ b/director/director.go
@@ -166,7 +166,7 @@
 	}
 	m, ok := d.tokens.Find(token)
 	if !ok {
-		return d.followGone(now, p, token)
+		return d.followGone(now, p, token, route)
 	}
 	if f != nil {
 		d.observe(now, p, f, m)
@@ -177,14 +177,16 @@
 	return Decision{Action: Forward, Reason: ReasonFlow, Target: &m.Target, Token: token}
 }
 
-// followGone decides on a packet whose target isn't registered.
-func (d *Director) followGone(now time.Time, p *Packet, token tokenizer.Token) Decision {
+// followGone decides on a packet whose target isn't registered. One that lapsed
+// may live, so its flows go on until it is known to be gone; where it can't be
+// reached either, those that may be repeated end at once.
+func (d *Director) followGone(now time.Time, p *Packet, token tokenizer.Token, route Route) Decision {
 	gone, proved := d.gone.find(now, token)
 	switch {
 	case gone == nil:
 		return Decision{Action: Drop, Reason: ReasonUnknown}
-	case !proved:
-		return Decision{Action: Forward, Reason: ReasonLapsed, Target: gone, Token: token}
+	case !proved && !d.mayReset(gone, route):
+		return Decision{Action: Forward, Reason: ReasonLapsed, Target: &gone.Target, Token: token}
 	case p.Reset:
 		return Decision{Action: Drop, Reason: ReasonTargetGone}
 	}
--- a/director/graveyard.go
+++ b/director/graveyard.go
@@ -26,7 +26,7 @@
 	// provedAt is from when on the target is known to be gone.
 	provedAt time.Time
 	dugAt    time.Time
-	target   Target
+	member   *member
 }
 
 func newGraveyard() *graveyard { return &graveyard{graves: make(map[tokenizer.Token]*grave)} }
@@ -37,7 +37,7 @@
 	if !m.Draining {
 		proved = at.Add(lapseGrace)
 	}
-	g.graves[m.token] = &grave{provedAt: proved, dugAt: at, target: m.Target}
+	g.graves[m.token] = &grave{provedAt: proved, dugAt: at, member: m}
 }
 
 func (g *graveyard) forget(token tokenizer.Token) { delete(g.graves, token) }
@@ -50,12 +50,12 @@
 }
 
 // find returns the removed target of a token and whether it is known to be gone.
-func (g *graveyard) find(now time.Time, token tokenizer.Token) (target *Target, proved bool) {
+func (g *graveyard) find(now time.Time, token tokenizer.Token) (m *member, proved bool) {
 	x := g.graves[token]
 	if x == nil {
 		return nil, false
 	}
-	return &x.target, !now.Before(x.provedAt)
+	return x.member, !now.Before(x.provedAt)
 }
 
 func (g *graveyard) expire(now time.Time) {
--- a/director/view.go
+++ b/director/view.go
@@ -153,6 +153,10 @@
 	d.pools[m.Service].remove(m)
 	d.tokens.Remove(m.ID)
 	d.gone.bury(m, now)
+	if !m.Draining {
+		// It may have lapsed although it lives.
+		d.doubt(now, m)
+	}
 }
 
 // dropLapsed takes out the targets that did not come back after an outage.
