Keep the links of small VMs free, and let no balancer blame targets for its own link

Ruled out: processor time (0.003 cores); one holder that reads for all, which would be lost with its VM. Change: values travel packed, packed once by who read them; balancers with more link and processor come first as readers; a check that fails counts only if a peer is reached at the same time.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -45,6 +45,10 @@
 	PeerAddress netip.AddrPort
 	// MetricsAddress serves counters and histograms; none are served without it.
 	MetricsAddress netip.AddrPort
+	// LinkMbps and Cores are the VM's link, in Mbit/s, and its share of the
+	// processor, in cores. Balancers with more of both read the store for others.
+	LinkMbps float64
+	Cores    float64
 	// Seeds are peer addresses to ask while the store is away.
 	Seeds []string
 }
@@ -198,13 +202,23 @@
 		Name:             b.settings.Name,
 		AvailabilityZone: b.settings.AvailabilityZone,
 		Address:          b.settings.PeerAddress.String(),
+		Strength:         follower.StrengthOf(b.settings.LinkMbps, b.settings.Cores),
 	}
 }
 
-// fetch asks the store or a peer.
+// fetch asks the store or a peer. What comes from the store is packed here, once
+// for all balancers that are told of it.
 func (b *Balancer) fetch(ctx context.Context, s follower.Source, after uint64, wait time.Duration) (replicator.Update, error) {
-	if s.Store() {
-		return b.directory.Fetch(ctx, after, wait)
+	if !s.Store() {
+		return b.view.ask(ctx, s.Peer.Address, after, wait)
 	}
-	return b.view.ask(ctx, s.Peer.Address, after, wait)
+	u, err := b.directory.Fetch(ctx, after, wait)
+	for i := range u.Items {
+		packed, packErr := u.Items[i].Pack()
+		if packErr != nil {
+			b.log.Error("value can't be packed; it is passed on as it is", "key", u.Items[i].Key, "cause", packErr.Error())
+		}
+		u.Items[i] = packed
+	}
+	return u, err
 }
--- a/balancer/checks.go
+++ b/balancer/checks.go
@@ -20,6 +20,10 @@
 	// heldUp is how much longer than its timeout a try may take; one that took
 	// longer was held up on this VM, and says nothing of the target.
 	heldUp = 30 * time.Millisecond
+	// controls is how many peers are tried, and controlTimeout bounds each try, to
+	// find whether this balancer's own link works: half of what targets get.
+	controls       = 3
+	controlTimeout = 60 * time.Millisecond
 	// checkers is how many targets are checked at a time: all of a zone of today's
 	// size within two rounds.
 	checkers = 8
@@ -46,6 +50,9 @@
 			return nil
 		case c := <-b.checks:
 			verdict := checkTarget(ctx, c.Target)
+			if verdict == director.Unreachable && !b.linked(ctx) {
+				verdict = director.Inconclusive
+			}
 			b.reset(conn, c, b.finishCheck(c, verdict))
 		}
 	}
@@ -83,6 +90,39 @@
 	return director.Unreachable
 }
 
+// linked reports whether this balancer reaches any of a few peers quickly. If not,
+// it is cut off itself or its link is full, and what it finds of targets says
+// nothing.
+func (b *Balancer) linked(ctx context.Context) bool {
+	dialer := net.Dialer{Timeout: controlTimeout}
+	for _, address := range b.controlAddresses() {
+		conn, err := dialer.DialContext(ctx, "tcp", address)
+		if err == nil {
+			conn.Close()
+			return true
+		}
+	}
+	return false
+}
+
+// controlAddresses returns the addresses of a few peers, those of the own zone first.
+func (b *Balancer) controlAddresses() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var near, far []string
+	for _, p := range b.view.peers {
+		switch {
+		case p.Name == b.settings.Name:
+		case p.AvailabilityZone == b.settings.AvailabilityZone:
+			near = append(near, p.Address)
+		default:
+			far = append(far, p.Address)
+		}
+	}
+	all := append(near, far...)
+	return all[:min(len(all), controls)]
+}
+
 // reset tells the callers of flows to open new ones.
 func (b *Balancer) reset(conn *net.UDPConn, c director.Check, flows []director.Packet) {
 	for i := range flows {
--- a/balancer/registrar.go
+++ b/balancer/registrar.go
@@ -66,9 +66,11 @@
 		return err
 	}
 	r.lease = lease
+	self := b.self()
 	value, err := json.Marshal(registration{
-		AvailabilityZone: b.settings.AvailabilityZone,
-		Address:          b.settings.PeerAddress.String(),
+		AvailabilityZone: self.AvailabilityZone,
+		Address:          self.Address,
+		Strength:         self.Strength,
 	})
 	if err != nil {
 		return errors.Wrap(err, "encoding the registration")
--- a/balancer/view.go
+++ b/balancer/view.go
@@ -70,6 +70,12 @@
 		b.applyPeer(name, item)
 		return
 	}
+	item, err := item.Unpack()
+	if err != nil {
+		b.metrics.entryErrors.Inc()
+		b.log.Error("value can't be unpacked", "key", item.Key, "revision", item.Revision, "source", s.String(), "cause", err.Error())
+		return
+	}
 	change, matters, err := b.directory.Decode(item)
 	if err != nil {
 		b.metrics.entryErrors.Inc()
@@ -98,6 +104,7 @@
 type registration struct {
 	AvailabilityZone string `json:"availability-zone"`
 	Address          string `json:"address"`
+	Strength         int    `json:"strength"`
 }
 
 func balancerName(key string) (string, bool) {
@@ -117,7 +124,9 @@
 			b.log.Warn("registration of a balancer can't be read", "peer", name, "cause", err.Error())
 			return
 		}
-		b.view.peers[name] = follower.Peer{Name: name, AvailabilityZone: r.AvailabilityZone, Address: r.Address}
+		b.view.peers[name] = follower.Peer{
+			Name: name, AvailabilityZone: r.AvailabilityZone, Address: r.Address, Strength: r.Strength,
+		}
 		b.log.Info("balancer registered", "peer", name, "zone", r.AvailabilityZone)
 	}
 	b.director.SetHolders(len(b.view.peers))
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -51,6 +51,24 @@
 	AvailabilityZone string
 	// Address is where it answers its peers.
 	Address string
+	// Strength says how fit it is to read for others, see StrengthOf.
+	Strength int
+}
+
+const (
+	// readerMbps and readerCores are what one reader of a large zone needs: a
+	// configuration of 400 routes that changes five times a second is 2 Mbit/s from
+	// the store and 2 Mbit/s to 40 followers, beside callers' packets.
+	readerMbps  = 50
+	readerCores = 0.1
+	// maxStrength is the strength from which on balancers are equally fit.
+	maxStrength = 2
+)
+
+// StrengthOf returns the strength of a balancer with a link in Mbit/s and a share
+// of the processor in cores, from 0 to 2.
+func StrengthOf(linkMbps, cores float64) int {
+	return int(min(linkMbps/readerMbps, cores/readerCores, maxStrength))
 }
 
 // Source is where to ask next. The zero Peer means the store.
@@ -114,7 +132,11 @@
 }
 
 func byRank(a, b Peer) int {
-	return cmp.Or(cmp.Compare(rank(a.Name), rank(b.Name)), cmp.Compare(a.Name, b.Name))
+	return cmp.Or(
+		cmp.Compare(b.Strength, a.Strength),
+		cmp.Compare(rank(a.Name), rank(b.Name)),
+		cmp.Compare(a.Name, b.Name),
+	)
 }
 
 func rank(name string) uint64 { return xxhash.Sum64String(name) }
--- a/follower/loop.go
+++ b/follower/loop.go
@@ -18,6 +18,8 @@
 	// storePause follows an answer of the store, so that changes which come close
 	// together cost one call.
 	storePause = 250 * time.Millisecond
+	// peerPause follows a peer's answer with changes, for the peer's link.
+	peerPause = 150 * time.Millisecond
 	// failurePause follows a failure, so that sources which refuse at once are not
 	// asked in a tight loop.
 	failurePause = 100 * time.Millisecond
@@ -88,6 +90,8 @@
 	switch {
 	case changed && source.Store():
 		return storePause
+	case changed:
+		return peerPause
 	case update.Age > staleAge:
 		return failurePause
 	}
--- a/publisher/chunker.go
+++ b/publisher/chunker.go
@@ -2,13 +2,12 @@
 
 import (
 	"bytes"
-	"compress/gzip"
 	"context"
 	"fmt"
-	"io"
 
 	"github.com/cockroachdb/errors"
 
+	"trefoilspring.example/trefoilspring/compressor"
 	"trefoilspring.example/trefoilspring/consul"
 	"trefoilspring.example/trefoilspring/operator"
 )
@@ -29,7 +28,7 @@
 // writeSnapshot writes the document in chunks under the id of its change. No
 // other change writes there, so that a write may be repeated.
 func writeSnapshot(ctx context.Context, store *consul.Store, id string, encoded []byte) (int, error) {
-	packed, err := pack(encoded)
+	packed, err := compressor.Pack(encoded)
 	if err != nil {
 		return 0, err
 	}
@@ -75,7 +74,7 @@
 		}
 		packed.Write(entry.Value())
 	}
-	d, err := unpack(&packed, s.Digest)
+	d, err := unpack(packed.Bytes(), s.Digest)
 	if err != nil {
 		return operator.Document{}, &RecordError{revision: s.Revision, cause: err}
 	}
@@ -93,24 +92,10 @@
 	}
 }
 
-func pack(encoded []byte) ([]byte, error) {
-	var packed bytes.Buffer
-	w := gzip.NewWriter(&packed)
-	_, err := w.Write(encoded)
-	if err == nil {
-		err = w.Close()
-	}
-	return packed.Bytes(), errors.Wrap(err, "compressing the document")
-}
-
-func unpack(packed io.Reader, digest string) (operator.Document, error) {
-	r, err := gzip.NewReader(packed)
+func unpack(packed []byte, digest string) (operator.Document, error) {
+	encoded, err := compressor.Unpack(packed, maxDocumentBytes)
 	if err != nil {
-		return operator.Document{}, errors.Wrap(err, "decompressing the document")
-	}
-	encoded, err := io.ReadAll(io.LimitReader(r, maxDocumentBytes))
-	if err != nil {
-		return operator.Document{}, errors.Wrap(err, "decompressing the document")
+		return operator.Document{}, errors.Wrap(err, "reading the document")
 	}
 	d, err := operator.Decode(encoded)
 	if err != nil {
@@ -137,16 +122,12 @@
 	if err != nil {
 		return nil, err
 	}
-	return pack(encoded)
+	return compressor.Pack(encoded)
 }
 
 // Unpack reads what Pack made, with the checks of Decode.
 func Unpack(packed []byte) (Record, error) {
-	r, err := gzip.NewReader(bytes.NewReader(packed))
-	if err != nil {
-		return Record{}, &RecordError{cause: err}
-	}
-	encoded, err := io.ReadAll(io.LimitReader(r, maxDocumentBytes))
+	encoded, err := compressor.Unpack(packed, maxDocumentBytes)
 	if err != nil {
 		return Record{}, &RecordError{cause: err}
 	}
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -19,6 +19,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"trefoilspring.example/trefoilspring/compressor"
 )
 
 // maxRemovals bounds the removed keys that are remembered. At the size to design
@@ -27,14 +29,52 @@
 
 // Item is one key of the store.
 type Item struct {
-	_        struct{} `cbor:",toarray"`
-	Key      string
+	_   struct{} `cbor:",toarray"`
+	Key string
+	// Value is packed if Packed is set; see Unpack.
 	Value    []byte
+	Packed   bool
 	Revision uint64
 	// Removed says that the key was removed at Revision.
 	Removed bool
 }
 
+// packBytes is the size of a value from which on it is packed. A registration has
+// 200 bytes and gains nothing.
+const packBytes = 1024
+
+// maxValueBytes bounds what a packed value may unpack to; the store takes 1 MB.
+const maxValueBytes = 4 << 20
+
+// Pack packs the item's value if it is large, once for all who are told of it. A
+// configuration of 400 routes shrinks from 100 KB to about a tenth.
+func (i Item) Pack() (Item, error) {
+	if i.Packed || len(i.Value) < packBytes {
+		return i, nil
+	}
+	packed, err := compressor.Pack(i.Value)
+	if err != nil {
+		return i, err
+	}
+	i.Value = packed
+	i.Packed = true
+	return i, nil
+}
+
+// Unpack returns the item with its value as it was written.
+func (i Item) Unpack() (Item, error) {
+	if !i.Packed {
+		return i, nil
+	}
+	value, err := compressor.Unpack(i.Value, maxValueBytes)
+	if err != nil {
+		return i, err
+	}
+	i.Value = value
+	i.Packed = false
+	return i, nil
+}
+
 // Update is what a source knows beyond a revision.
 type Update struct {
 	_ struct{} `cbor:",toarray"`
