--- /dev/null
+++ b/director/director_test.go
@@ -0,0 +1,250 @@
+package director_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"trefoilspring.example/trefoilspring/director"
+	"trefoilspring.example/trefoilspring/tokenizer"
+)
+
+var (
+	start = time.Unix(1_700_000_000, 0)
+	board = netip.MustParseAddrPort("198.18.0.1:8443")
+	holds = netip.MustParseAddrPort("198.18.0.1:8080")
+	cards = netip.MustParseAddrPort("198.18.0.2:8443")
+)
+
+const grace = 3 * time.Second
+
+// configuration has a route that may be repeated, one that may not and one of
+// another service.
+func configuration(version uint64) director.Configuration {
+	desk := []director.Backend{{Service: "desk", Weight: 1}}
+	return director.Configuration{
+		Version: version,
+		Routes: []director.Route{
+			{Name: "board", Address: board, Backends: desk, Repeatable: true},
+			{Name: "holds", Address: holds, Backends: desk},
+			{Name: "cards", Address: cards, Backends: []director.Backend{{Service: "press", Weight: 1}}, Repeatable: true},
+		},
+		Services: []director.Service{{Name: "desk", ColdRate: 4}, {Name: "press"}},
+	}
+}
+
+func target(id int) director.Target {
+	return director.Target{
+		Name:             fmt.Sprintf("t-%d", id),
+		ID:               uint64(id),
+		Started:          1,
+		Service:          "desk",
+		Address:          netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(id)}), 80),
+		AvailabilityZone: string(rune('a' + id%3)),
+		Capacity:         3,
+	}
+}
+
+func newDirector(targets int) *director.Director {
+	d := director.New(1, "a")
+	d.SetConfiguration(configuration(1))
+	for id := 1; id <= targets; id++ {
+		d.SetTarget(start, target(id))
+	}
+	return d
+}
+
+func caller(n int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, 64, byte(n >> 8), byte(n)}), 40000)
+}
+
+func opening(n int, copies uint32) *director.Packet {
+	return &director.Packet{Source: caller(n), Destination: board, Opening: true, Copy: copies}
+}
+
+// data is a packet of an open flow.
+func data(n int, route netip.AddrPort, token tokenizer.Token, sequence, acknowledged uint32) *director.Packet {
+	return &director.Packet{
+		Source: caller(n), Destination: route, Token: token,
+		Sequence: sequence, Acknowledged: acknowledged, Data: []byte("GET / HTTP/1.1\r\n"),
+	}
+}
+
+// Any balancer forwards any packet of a flow by its token alone, whatever it has
+// seen and however many targets it knows.
+func TestTokenLeadsToTheTargetOnEveryBalancer(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 40).Draw(t, "targets")
+		first, second := newDirector(n), newDirector(rapid.IntRange(n, 60).Draw(t, "more targets"))
+		flow := rapid.IntRange(0, 60000).Draw(t, "flow")
+		opened := first.Decide(start, opening(flow, 0))
+		if opened.Action != director.Forward {
+			t.Fatalf("opening: %v", opened)
+		}
+		later := second.Decide(start, data(flow, board, opened.Token, 1, 1))
+		if later.Action != director.Forward || later.Target.Name != opened.Target.Name {
+			t.Fatalf("opened at %s, later packet: %v", opened.Target.Name, later)
+		}
+	})
+}
+
+// A copy of an opening that reaches another balancer goes to the same target, so
+// no second one answers.
+func TestBalancersOfOneViewChooseTheSame(t *testing.T) {
+	is := is.New(t)
+	first, second := newDirector(14), newDirector(14)
+	for n := range 500 {
+		is.Equal(first.Decide(start, opening(n, 0)).Token, second.Decide(start, opening(n, 1)).Token)
+	}
+}
+
+func TestOpeningsFollowCapacity(t *testing.T) {
+	is := is.New(t)
+	d := newDirector(9)
+	big := target(10)
+	big.Capacity = 9
+	d.SetTarget(start, big)
+	count := make(map[string]int)
+	const flows = 12000
+	for n := range flows {
+		count[d.Decide(start, opening(n, 0)).Target.Name]++
+	}
+	// 9 targets of 3 slots and one of 9.
+	is.True(abs(count["t-10"]-flows/4) < flows/40)
+	is.True(abs(count["t-1"]-flows/12) < flows/60)
+}
+
+func abs(n int) int { return max(n, -n) }
+
+func TestDrainingTargetKeepsItsFlowsAndGetsNoNew(t *testing.T) {
+	is := is.New(t)
+	d := newDirector(2)
+	token := tokenizer.Of(1)
+	leaving := target(1)
+	leaving.Draining = true
+	d.SetTarget(start, leaving)
+	for n := range 200 {
+		is.Equal(d.Decide(start, opening(n, 0)).Target.Name, "t-2")
+	}
+	is.Equal(d.Decide(start, data(1000, board, token, 1, 1)).Target.Name, "t-1")
+}
+
+func TestZoneThatIsOutGetsNoNewFlows(t *testing.T) {
+	is := is.New(t)
+	d := newDirector(9)
+	d.SetOut("b", true)
+	for n := range 500 {
+		is.True(d.Decide(start, opening(n, 0)).Target.AvailabilityZone != "b")
+		is.True(d.Decide(start, opening(n, 1)).Target.AvailabilityZone != "b")
+	}
+	d.SetOut("b", false)
+	back := false
+	for n := 1000; n < 1500; n++ {
+		back = back || d.Decide(start, opening(n, 0)).Target.AvailabilityZone == "b"
+	}
+	is.True(back)
+}
+
+// What can't be served is refused at once, and only if that is known.
+func TestRefusals(t *testing.T) {
+	is := is.New(t)
+	unknowing := director.New(1, "a")
+	is.Equal(unknowing.Decide(start, opening(1, 0)).Action, director.Drop)
+	d := newDirector(0)
+	is.Equal(d.Decide(start, opening(1, 0)), director.Decision{Action: director.Reset, Reason: director.ReasonNoTarget})
+	nowhere := opening(1, 0)
+	nowhere.Destination = netip.MustParseAddrPort("198.18.0.9:1")
+	is.Equal(d.Decide(start, nowhere), director.Decision{Action: director.Reset, Reason: director.ReasonNoRoute})
+	// Another balancer may have heard of this target first.
+	is.Equal(d.Decide(start, data(1, board, 77, 1, 1)).Action, director.Drop)
+}
+
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	is := is.New(t)
+	d := newDirector(1)
+	newer := configuration(7)
+	newer.Routes = newer.Routes[:1]
+	is.True(d.SetConfiguration(newer))
+	is.True(!d.SetConfiguration(configuration(6)))
+	version, _ := d.Version()
+	is.Equal(version, uint64(7))
+	dropped := opening(1, 0)
+	dropped.Destination = holds
+	is.Equal(d.Decide(start, dropped).Reason, director.ReasonNoRoute)
+}
+
+// A copy goes elsewhere unless the first target has answered another flow since.
+func TestCopyOfAnUnansweredOpeningGoesElsewhere(t *testing.T) {
+	is := is.New(t)
+	d := newDirector(6)
+	first := d.Decide(start, opening(1, 0))
+	later := start.Add(200 * time.Millisecond)
+	second := d.Decide(later, opening(1, 1))
+	is.Equal(second.Reason, director.ReasonMoved)
+	is.True(second.Target.Name != first.Target.Name)
+	is.Equal(second.Target.AvailabilityZone, "a") // the balancer's own zone can't be cut off from it
+	checks := d.Checks()
+	is.Equal(len(checks), 1)
+	is.Equal(checks[0].Name, first.Target.Name)
+}
+
+func TestCopyStaysWhereTheTargetAnswersOthers(t *testing.T) {
+	is := is.New(t)
+	d := newDirector(6)
+	first := d.Decide(start, opening(1, 0))
+	d.Decide(start.Add(100*time.Millisecond), data(500, board, first.Token, 1, 1))
+	second := d.Decide(start.Add(200*time.Millisecond), opening(1, 1))
+	is.Equal(second.Token, first.Token)
+	is.Equal(second.Reason, director.ReasonRepeated)
+}
+
+// Two targets answer one opening: the flow stays with the one whose answer the
+// caller took first, though its packets carry the other's token for a while.
+func TestFlowStaysWithTheFirstAnswer(t *testing.T) {
+	is := is.New(t)
+	d := newDirector(6)
+	first := d.Decide(start, opening(1, 0))
+	second := d.Decide(start.Add(200*time.Millisecond), opening(1, 1))
+	is.True(first.Token != second.Token)
+	for _, order := range [][2]tokenizer.Token{{first.Token, second.Token}, {second.Token, first.Token}} {
+		d := newDirector(6)
+		d.Decide(start, opening(1, 0))
+		d.Decide(start.Add(200*time.Millisecond), opening(1, 1))
+		now := start.Add(210 * time.Millisecond)
+		is.Equal(d.Decide(now, data(1, board, order[0], 1, 1)).Token, order[0])
+		is.Equal(d.Decide(now, data(1, board, order[1], 17, 1)).Token, order[0])
+		is.Equal(d.Decide(now, opening(1, 2)).Token, order[0])
+	}
+}
+
+func TestRestartedTargetIsAnother(t *testing.T) {
+	is := is.New(t)
+	d := newDirector(3)
+	d.Decide(start, opening(1, 0))
+	again := target(1)
+	again.Started = 2
+	again.Service = "press"
+	d.SetTarget(start, again)
+	for n := range 200 {
+		is.True(d.Decide(start, opening(n, 0)).Target.Name != "t-1")
+	}
+	p := opening(900, 0)
+	p.Destination = cards
+	is.Equal(d.Decide(start, p).Target.Name, "t-1")
+}
+
+// Flows are watched for a few seconds only, so memory follows the load.
+func TestFlowsAreForgotten(t *testing.T) {
+	is := is.New(t)
+	d := newDirector(3)
+	for n := range 1000 {
+		d.Decide(start, opening(n, 0))
+	}
+	is.Equal(d.Flows(), 1000)
+	d.Tick(start.Add(10 * time.Second))
+	is.Equal(d.Flows(), 0)
+}
--- a/director/flows.go
+++ b/director/flows.go
@@ -119,3 +119,6 @@
 	binary.BigEndian.PutUint16(data[34:], p.Destination.Port())
 	return xxhash.Sum64(data[:])
 }
+
+// Flows returns the number of flows that are watched.
+func (d *Director) Flows() int { return len(d.flows.rows) }
--- /dev/null
+++ b/director/gone_test.go
@@ -0,0 +1,228 @@
+package director_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"trefoilspring.example/trefoilspring/director"
+	"trefoilspring.example/trefoilspring/tokenizer"
+)
+
+// request opens flow n, has its target answer, and returns the token. Packets
+// after it have the numbers 100 and 50.
+func request(d *director.Director, now time.Time, n int) tokenizer.Token {
+	token := d.Decide(now, opening(n, 0)).Token
+	d.Decide(now, data(n, board, token, 1, 1))
+	d.Decide(now, &director.Packet{Source: caller(n), Destination: board, Token: token, Sequence: 100, Acknowledged: 50})
+	return token
+}
+
+// repeat sends a request of flow n that nothing answers, twice.
+func repeat(d *director.Director, now time.Time, n int, token tokenizer.Token) director.Decision {
+	d.Decide(now, data(n, board, token, 100, 50))
+	return d.Decide(now.Add(300*time.Millisecond), data(n, board, token, 100, 50))
+}
+
+// Load pattern: a zone is cut off while callers wait for its targets on open
+// flows. Before, all of them waited until their deadlines.
+func TestFlowsOfAnUnreachableTargetAreReset(t *testing.T) {
+	is := is.New(t)
+	d := newDirector(1)
+	token := request(d, start, 1)
+	now := start.Add(time.Second)
+	is.Equal(repeat(d, now, 1, token).Action, director.Forward)
+	checks := d.Checks()
+	is.Equal(len(checks), 1)
+	reset := d.Checked(now.Add(600*time.Millisecond), checks[0], director.Unreachable)
+	is.Equal(len(reset), 1)
+	is.Equal(reset[0].Source, caller(1))
+	is.Equal(reset[0].Acknowledged, uint32(50))
+	// The next request on any of its flows is told at once.
+	next := d.Decide(now.Add(700*time.Millisecond), data(2, board, token, 1, 1))
+	is.Equal(next.Reason, director.ReasonCutOff)
+	// An acknowledgement asks for nothing and may still arrive.
+	is.Equal(d.Decide(now, &director.Packet{Source: caller(3), Destination: board, Token: token, Acknowledged: 9}).Action, director.Forward)
+}
+
+// A request that may run only once is never broken off: its answer may come.
+func TestRequestThatRunsOnceIsLeftAlone(t *testing.T) {
+	is := is.New(t)
+	d := newDirector(1)
+	token := tokenizer.Of(1)
+	d.Decide(start, data(1, holds, token, 1, 1))
+	d.Decide(start.Add(300*time.Millisecond), data(1, holds, token, 1, 1))
+	now := start.Add(time.Second)
+	is.Equal(len(d.Checked(now, d.Checks()[0], director.Unreachable)), 0)
+	is.Equal(d.Decide(now, data(1, holds, token, 1, 1)).Action, director.Forward)
+}
+
+func TestReachableTargetKeepsItsFlows(t *testing.T) {
+	for _, v := range []director.Verdict{director.Reachable, director.Inconclusive} {
+		is := is.New(t)
+		d := newDirector(1)
+		token := request(d, start, 1)
+		now := start.Add(time.Second)
+		repeat(d, now, 1, token)
+		is.Equal(len(d.Checked(now, d.Checks()[0], v)), 0)
+		is.Equal(d.Decide(now, data(1, board, token, 200, 50)).Action, director.Forward)
+	}
+}
+
+// A lost packet of one flow is no sign while the target answers others.
+func TestLossIsNoSign(t *testing.T) {
+	is := is.New(t)
+	d := newDirector(1)
+	token := request(d, start, 1)
+	now := start.Add(time.Second)
+	d.Decide(now, data(1, board, token, 100, 50))
+	d.Decide(now.Add(200*time.Millisecond), data(7, board, token, 1, 1)) // another flow's first acknowledgement
+	d.Decide(now.Add(300*time.Millisecond), data(1, board, token, 100, 50))
+	is.Equal(len(d.Checks()), 0)
+}
+
+// One unreachable target has its zone's others checked before callers find out,
+// and a check that succeeds later brings all back.
+func TestNeighboursAreCheckedAndComeBack(t *testing.T) {
+	is := is.New(t)
+	d := newDirector(9)
+	token := tokenizer.Of(1) // zones of 1, 4 and 7 are the same
+	d.Decide(start, data(1, board, token, 1, 1))
+	d.Decide(start.Add(300*time.Millisecond), data(1, board, token, 1, 1))
+	now := start.Add(time.Second)
+	d.Checked(now, d.Checks()[0], director.Unreachable)
+	neighbours := d.Checks()
+	is.Equal(len(neighbours), 2)
+	for _, c := range neighbours {
+		d.Checked(now, c, director.Unreachable)
+	}
+	for n := 100; n < 300; n++ {
+		is.True(d.Decide(now, opening(n, 0)).Target.AvailabilityZone != "b")
+	}
+	now = now.Add(3 * time.Second)
+	d.Tick(now)
+	for _, c := range d.Checks() {
+		d.Checked(now, c, director.Reachable)
+	}
+	back := false
+	for n := 400; n < 600; n++ {
+		back = back || d.Decide(now, opening(n, 0)).Target.AvailabilityZone == "b"
+	}
+	is.True(back)
+}
+
+// All targets suspect at once: openings go on as if none were.
+func TestOpeningsGoOnWhenAllAreUnreachable(t *testing.T) {
+	is := is.New(t)
+	d := newDirector(4)
+	for id := 1; id <= 4; id++ {
+		token := tokenizer.Of(uint64(id))
+		d.Decide(start, data(id, board, token, 1, 1))
+		d.Decide(start.Add(300*time.Millisecond), data(id, board, token, 1, 1))
+	}
+	now := start.Add(time.Second)
+	for _, c := range d.Checks() {
+		d.Checked(now, c, director.Unreachable)
+	}
+	is.Equal(d.Decide(now, opening(99, 0)).Action, director.Forward)
+}
+
+// A target that said that it leaves and is gone: its callers are told at once. One
+// that lapsed may live, so that its flows go on for a while.
+func TestFlowsOfRemovedTargets(t *testing.T) {
+	is := is.New(t)
+	d := newDirector(3)
+	left := target(1)
+	left.Draining = true
+	d.SetTarget(start, left)
+	d.RemoveTarget(start, "t-1")
+	is.Equal(d.Decide(start, data(1, board, tokenizer.Of(1), 1, 1)).Reason, director.ReasonTargetGone)
+
+	d.RemoveTarget(start, "t-2")
+	is.Equal(d.Decide(start, data(2, board, tokenizer.Of(2), 1, 1)).Reason, director.ReasonLapsed)
+	is.Equal(d.Decide(start.Add(grace), data(2, board, tokenizer.Of(2), 1, 1)).Reason, director.ReasonTargetGone)
+	d.SetTarget(start.Add(grace), target(2)) // it lived after all
+	is.Equal(d.Decide(start.Add(grace), data(2, board, tokenizer.Of(2), 1, 1)).Reason, director.ReasonFlow)
+}
+
+// Load pattern: registrations lapse with their zone while its flows wait. A lapsed
+// target is checked at once, and what was known of it stays known.
+func TestLapsedTargetIsChecked(t *testing.T) {
+	is := is.New(t)
+	d := newDirector(1)
+	token := request(d, start, 1)
+	d.RemoveTarget(start, "t-1")
+	checks := d.Checks()
+	is.Equal(len(checks), 1)
+	now := start.Add(300 * time.Millisecond)
+	d.Checked(now, checks[0], director.Unreachable)
+	is.Equal(d.Decide(now, data(1, board, token, 100, 50)).Action, director.Reset)
+	is.Equal(d.Decide(now, data(1, holds, token, 100, 50)).Reason, director.ReasonLapsed)
+}
+
+// Load pattern: the store was down and all registrations lapsed. Nothing is
+// removed before their targets had time to come back.
+func TestOutageRemovesNothingAtOnce(t *testing.T) {
+	is := is.New(t)
+	d := newDirector(3)
+	back := start.Add(2500 * time.Millisecond)
+	d.SetOutage(back)
+	for _, name := range []string{"t-1", "t-2", "t-3"} {
+		d.RemoveTarget(start, name)
+	}
+	is.Equal(d.Decide(start, opening(1, 0)).Action, director.Forward)
+	d.SetTarget(start.Add(time.Second), target(2))
+	d.Tick(back)
+	is.Equal(d.Targets(), 1)
+	for n := range 50 {
+		is.Equal(d.Decide(back, opening(100+n, 0)).Target.Name, "t-2")
+	}
+}
+
+// Load pattern: a target starts in the middle of a busy day. All balancers of the
+// fleet together send it no more openings in a second than it bears.
+func TestColdTargetGetsItsShareOverAllBalancers(t *testing.T) {
+	is := is.New(t)
+	const balancers = 20
+	const rate = 4 // of the configuration
+	fleet := make([]*director.Director, balancers)
+	cold := target(4)
+	cold.ColdFor = 3 * time.Second
+	for i := range fleet {
+		fleet[i] = director.New(uint64(i)*7919+1, "a")
+		fleet[i].SetConfiguration(configuration(1))
+		fleet[i].SetHolders(balancers)
+		for id := 1; id <= 3; id++ {
+			fleet[i].SetTarget(start, target(id))
+		}
+		fleet[i].SetTarget(start, cold)
+	}
+	perSecond := make(map[int]int)
+	for n := range 6000 { // 1,500 openings a second over 4 s
+		now := start.Add(time.Duration(n) * 4 * time.Second / 6000)
+		d := fleet[n%balancers].Decide(now, opening(n, 0))
+		is.Equal(d.Action, director.Forward)
+		if d.Target.Name == "t-4" {
+			perSecond[int(now.Sub(start)/time.Second)]++
+		}
+	}
+	for second := range 3 {
+		is.True(perSecond[second] <= rate*3/2+5)
+	}
+	is.True(perSecond[3] > 250) // warm: a quarter of 1,500
+}
+
+// A checked target that restarted under its name meanwhile is another one.
+func TestVerdictOnAnEarlierRunIsIgnored(t *testing.T) {
+	is := is.New(t)
+	d := newDirector(1)
+	token := request(d, start, 1)
+	repeat(d, start.Add(time.Second), 1, token)
+	checks := d.Checks()
+	again := target(1)
+	again.Started = 2
+	d.SetTarget(start.Add(time.Second), again)
+	is.Equal(len(d.Checked(start.Add(2*time.Second), checks[0], director.Unreachable)), 0)
+	is.Equal(d.Decide(start.Add(2*time.Second), data(1, board, token, 200, 50)).Action, director.Forward)
+}
