Let packets wait for the first view

Cause: after all balancers were killed, what came between their start and the first view was dropped and repeated 200 to 800 ms later. Ruled out: starting up faster; the process is ready within 50 ms, the view takes 0.3 s when 134 balancers read it at once. Change: the data socket is read once there is a configuration, after 1 s at most.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -104,6 +104,9 @@
 	// lastPacket is when the last datagram came, in Unix nanoseconds.
 	lastPacket atomic.Int64
 
+	// viewed is closed once there is a view to decide by.
+	viewed chan struct{}
+
 	mu       sync.Mutex
 	director *director.Director
 	view     view
@@ -118,6 +121,7 @@
 		log:       log.With("balancer", settings.Name),
 		director:  director.New(xxhash.Sum64String(settings.Name), settings.AvailabilityZone),
 	}
+	b.viewed = make(chan struct{})
 	b.checks = make(chan director.Check, queuedChecks)
 	b.seeds.Store(&settings.Seeds)
 	b.view.init()
--- a/balancer/packets.go
+++ b/balancer/packets.go
@@ -41,8 +41,24 @@
 	requests *logger.Budget
 }
 
+// firstViewWait is how long packets wait in the socket for the first view. Callers
+// repeat theirs 200 to 800 ms later, and drop the attempt after 1.4 s.
+const firstViewWait = time.Second
+
+// awaitView waits until there is something to decide by. Load pattern: all
+// balancers start at once under full load, and whatever came in the first 0.3 s
+// would be dropped and wait for its repetition.
+func (b *Balancer) awaitView(ctx context.Context) {
+	select {
+	case <-b.viewed:
+	case <-ctx.Done():
+	case <-time.After(firstViewWait):
+	}
+}
+
 // forward moves packets until ctx ends or the socket fails.
 func (b *Balancer) forward(ctx context.Context, conn *net.UDPConn) error {
+	b.awaitView(ctx)
 	stop := context.AfterFunc(ctx, func() {
 		// Ends the read that the loop waits in.
 		_ = conn.SetReadDeadline(time.Unix(1, 0))
--- a/balancer/view.go
+++ b/balancer/view.go
@@ -31,6 +31,8 @@
 	// changed is closed and replaced when the replica changes.
 	changed chan struct{}
 	client  *http.Client
+	// complete says that there has been a configuration.
+	complete bool
 }
 
 func (v *view) init() {
@@ -53,6 +55,11 @@
 	for _, item := range changed {
 		b.apply(now, item, s)
 	}
+	if _, configured := b.director.Version(); configured && !v.complete {
+		v.complete = true
+		close(b.viewed)
+		b.log.Info("first view", "source", s.String(), "revision", v.replica.Revision(), "targets", b.director.Targets())
+	}
 	if len(changed) > 0 {
 		close(v.changed)
 		v.changed = make(chan struct{})
