--- a/balancer/view.go
+++ b/balancer/view.go
@@ -55,10 +55,11 @@
 	for _, item := range changed {
 		b.apply(now, item, s)
 	}
-	if _, configured := b.director.Version(); configured && !v.complete {
+	if version, configured := b.director.Version(); configured && !v.complete {
 		v.complete = true
 		close(b.viewed)
-		b.log.Info("first view", "source", s.String(), "revision", v.replica.Revision(), "targets", b.director.Targets())
+		b.log.Info("first view", "source", s.String(), "revision", v.replica.Revision(),
+			"version", version, "targets", b.director.Targets(), "peers", len(v.peers))
 	}
 	if len(changed) > 0 {
 		close(v.changed)
@@ -92,6 +93,11 @@
 		return
 	}
 	b.director.Apply(now, change)
+	if !b.view.complete {
+		// One line tells of the first view; a line for each of its keys would take
+		// longer than all the rest of a start.
+		return
+	}
 	log := b.log.With("source", s.String(), "revision", item.Revision)
 	switch {
 	case change.Configuration != nil:
@@ -134,7 +140,9 @@
 		b.view.peers[name] = follower.Peer{
 			Name: name, AvailabilityZone: r.AvailabilityZone, Address: r.Address, Strength: r.Strength,
 		}
-		b.log.Info("balancer registered", "peer", name, "zone", r.AvailabilityZone)
+		if b.view.complete {
+			b.log.Info("balancer registered", "peer", name, "zone", r.AvailabilityZone)
+		}
 	}
 	b.director.SetHolders(len(b.view.peers))
 }
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -183,8 +183,11 @@
 			u.Items = append(u.Items, item)
 		}
 	}
+	if u.Full {
+		return u
+	}
 	for key, revision := range r.removed {
-		if u.Full || revision > after {
+		if revision > after {
 			u.Items = append(u.Items, Item{Key: key, Revision: revision, Removed: true})
 		}
 	}
