--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -210,12 +210,25 @@
 	}
 }
 
-// fetch asks the store or a peer. What comes from the store is packed here, once
-// for all balancers that are told of it.
+// fetch asks the store or a peer.
 func (b *Balancer) fetch(ctx context.Context, s follower.Source, after uint64, wait time.Duration) (replicator.Update, error) {
-	if !s.Store() {
-		return b.view.ask(ctx, s.Peer.Address, after, wait)
+	start := time.Now()
+	ask, kind := b.fetchPeer, sourcePeer
+	if s.Store() {
+		ask, kind = b.fetchStore, sourceStore
 	}
+	u, err := ask(ctx, s, after, wait)
+	b.metrics.fetched(kind, start, err)
+	return u, err
+}
+
+func (b *Balancer) fetchPeer(ctx context.Context, s follower.Source, after uint64, wait time.Duration) (replicator.Update, error) {
+	return b.view.ask(ctx, s.Peer.Address, after, wait)
+}
+
+// fetchStore asks the store. What comes from it is packed here, once for all
+// balancers that are told of it.
+func (b *Balancer) fetchStore(ctx context.Context, _ follower.Source, after uint64, wait time.Duration) (replicator.Update, error) {
 	u, err := b.directory.Fetch(ctx, after, wait)
 	for i := range u.Items {
 		packed, packErr := u.Items[i].Pack()
--- a/balancer/checks.go
+++ b/balancer/checks.go
@@ -119,8 +119,8 @@
 			far = append(far, p.Address)
 		}
 	}
-	all := append(near, far...)
-	return all[:min(len(all), controls)]
+	near = append(near, far...)
+	return near[:min(len(near), controls)]
 }
 
 // reset tells the callers of flows to open new ones.
--- a/balancer/meters.go
+++ b/balancer/meters.go
@@ -80,6 +80,20 @@
 	c.Inc()
 }
 
+// Kinds of sources of the view.
+const (
+	sourceStore = "store"
+	sourcePeer  = "peer"
+)
+
+// fetched counts a question to a source of the view, with the time it took.
+func (m *meters) fetched(source string, start time.Time, err error) {
+	m.set.GetOrCreateHistogram(fmt.Sprintf(`trefoilspring_view_fetch_seconds{source=%q}`, source)).UpdateDuration(start)
+	if err != nil {
+		m.set.GetOrCreateCounter(fmt.Sprintf(`trefoilspring_view_fetch_errors_total{source=%q}`, source)).Inc()
+	}
+}
+
 // check counts a check by its verdict, under the lock.
 func (m *meters) check(v director.Verdict) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`trefoilspring_target_checks_total{verdict=%q}`, v.String())).Inc()
--- a/director/gone_test.go
+++ b/director/gone_test.go
@@ -10,9 +10,10 @@
 	"trefoilspring.example/trefoilspring/tokenizer"
 )
 
-// request opens flow n, has its target answer, and returns the token. Packets
+// request opens flow 1, has its target answer, and returns the token. Packets
 // after it have the numbers 100 and 50.
-func request(d *director.Director, now time.Time, n int) tokenizer.Token {
+func request(d *director.Director, now time.Time) tokenizer.Token {
+	const n = 1
 	token := d.Decide(now, opening(n, 0)).Token
 	d.Decide(now, data(n, board, token, 1, 1))
 	d.Decide(now, &director.Packet{Source: caller(n), Destination: board, Token: token, Sequence: 100, Acknowledged: 50})
@@ -30,7 +31,7 @@
 func TestFlowsOfAnUnreachableTargetAreReset(t *testing.T) {
 	is := is.New(t)
 	d := newDirector(1)
-	token := request(d, start, 1)
+	token := request(d, start)
 	now := start.Add(time.Second)
 	is.Equal(repeat(d, now, 1, token).Action, director.Forward)
 	checks := d.Checks()
@@ -62,7 +63,7 @@
 	for _, v := range []director.Verdict{director.Reachable, director.Inconclusive} {
 		is := is.New(t)
 		d := newDirector(1)
-		token := request(d, start, 1)
+		token := request(d, start)
 		now := start.Add(time.Second)
 		repeat(d, now, 1, token)
 		is.Equal(len(d.Checked(now, d.Checks()[0], v)), 0)
@@ -74,7 +75,7 @@
 func TestLossIsNoSign(t *testing.T) {
 	is := is.New(t)
 	d := newDirector(1)
-	token := request(d, start, 1)
+	token := request(d, start)
 	now := start.Add(time.Second)
 	d.Decide(now, data(1, board, token, 100, 50))
 	d.Decide(now.Add(200*time.Millisecond), data(7, board, token, 1, 1)) // another flow's first acknowledgement
@@ -151,7 +152,7 @@
 func TestLapsedTargetIsChecked(t *testing.T) {
 	is := is.New(t)
 	d := newDirector(1)
-	token := request(d, start, 1)
+	token := request(d, start)
 	d.RemoveTarget(start, "t-1")
 	checks := d.Checks()
 	is.Equal(len(checks), 1)
@@ -217,7 +218,7 @@
 func TestVerdictOnAnEarlierRunIsIgnored(t *testing.T) {
 	is := is.New(t)
 	d := newDirector(1)
-	token := request(d, start, 1)
+	token := request(d, start)
 	repeat(d, start.Add(time.Second), 1, token)
 	checks := d.Checks()
 	again := target(1)
--- a/replicator/replicator_test.go
+++ b/replicator/replicator_test.go
@@ -118,11 +118,10 @@
 	var r, peer replicator.Replica
 	r.Merge(update(1, written("first", 1)), start)
 	peer.Merge(r.Since(0, start), start)
-	revision := uint64(1)
 	r.Merge(update(2, removed("first", 2)), start)
 	for i := range 3000 {
 		key := fmt.Sprint("key-", i)
-		revision = uint64(3 + 2*i)
+		revision := uint64(3 + 2*i)
 		r.Merge(update(revision, written(key, revision)), start)
 		r.Merge(update(revision+1, removed(key, revision+1)), start)
 	}
