--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -9,8 +9,8 @@
 //
 // # Usage
 //
-//	b, err := balancer.New(settings, fabric, directory, log)
-//	err = b.Run(ctx) // until ctx ends and the routers have turned away
+//	b := balancer.New(settings, fabric, directory, log)
+//	err := b.Run(ctx) // until ctx ends and the routers have turned away
 package balancer
 
 import (
@@ -81,8 +81,6 @@
 	Lease func(ctx context.Context, ttl time.Duration) (uint64, error)
 	// Renew renews a lease and reports whether it still exists.
 	Renew func(ctx context.Context, lease uint64) (bool, error)
-	// End ends a lease.
-	End func(ctx context.Context, lease uint64) error
 }
 
 // Balancer is one balancer.
--- a/balancer/fixture_test.go
+++ b/balancer/fixture_test.go
@@ -87,7 +87,6 @@
 		},
 		Lease: func(context.Context, time.Duration) (uint64, error) { return 1, s.check() },
 		Renew: func(context.Context, uint64) (bool, error) { return true, s.check() },
-		End:   func(context.Context, uint64) error { return s.check() },
 	}
 }
 
--- a/balancer/registrar.go
+++ b/balancer/registrar.go
@@ -27,7 +27,8 @@
 
 func newRegistrar(b *Balancer) *registrar { return &registrar{balancer: b} }
 
-// run registers the balancer until ctx ends, then ends the registration.
+// run keeps the balancer registered until ctx ends. The registration then ends with
+// its lease.
 func (r *registrar) run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		wait := renewInterval
