Find a lost zone by a few checks instead of one for each target

Cause: when a target was found unreachable, every other target of its zone was checked, and each that lapsed, by every balancer. Now three targets in a row make a zone suspect, 16 others are sampled, and the rest are checked when a packet asks. Before: TestLostZoneIsFoundByAFewChecks failed. Conclusion: checks no longer grow with the targets.

--- a/director/checks.go
+++ b/director/checks.go
@@ -13,6 +13,11 @@
 	Target  Target
 }
 
+// lapseChecks is how many checks may run for targets that lapsed and have no flow
+// that passes here: two rounds of the eight that a balancer makes at a time. When
+// hundreds lapse together, the others are checked when a packet asks for them.
+const lapseChecks = 16
+
 // Checks returns the targets to check now, each once. Checked must be called with
 // the outcome of each.
 func (d *Director) Checks() []Check {
@@ -27,6 +32,7 @@
 		return
 	}
 	m.evidence.checking = true
+	d.checking++
 	d.checks = append(d.checks, Check{Name: m.Name, Started: m.Started, Target: m.Target})
 }
 
@@ -52,6 +58,7 @@
 // Checked notes the outcome of a check. It returns the flows to reset: those whose
 // callers wait for a target that can't be reached and may repeat their request.
 func (d *Director) Checked(now time.Time, c Check, v Verdict) []Packet {
+	d.checking--
 	m := d.checked(now, c)
 	if m == nil {
 		return nil
@@ -62,14 +69,16 @@
 	switch v {
 	case Reachable:
 		e.unreachable = false
+		m.zone.reached()
 	case Inconclusive:
 	case Unreachable:
 		found := !e.unreachable
 		e.unreachable = true
 		if found {
-			d.doubtNeighbours(now, m)
+			d.found(now, m)
 			return d.waiting(m)
 		}
+		m.zone.confirmed(now)
 	}
 	return nil
 }
@@ -86,16 +95,6 @@
 	return m
 }
 
-// doubtNeighbours has the other targets of an availability zone checked: they may
-// be cut off together, and their callers need not wait to find out.
-func (d *Director) doubtNeighbours(now time.Time, m *member) {
-	for _, other := range d.byName {
-		if other != m && other.AvailabilityZone == m.AvailabilityZone {
-			d.doubt(now, other)
-		}
-	}
-}
-
 // waiting returns the flows of a target whose callers wait for an answer and may
 // repeat their request elsewhere.
 func (d *Director) waiting(m *member) []Packet {
--- a/director/chooser.go
+++ b/director/chooser.go
@@ -44,7 +44,7 @@
 	var best *member
 	var bestScore float64
 	for _, m := range p.members {
-		if m == avoid || m.AvailabilityZone != d.zone || !d.usable(m) || m.evidence.suspect(now) || now.Before(m.coldUntil) {
+		if m == avoid || m.AvailabilityZone != d.zone || !d.usable(m) || m.suspect(now) || now.Before(m.coldUntil) {
 			continue
 		}
 		if s := score(key, m); s > bestScore {
@@ -82,7 +82,7 @@
 			continue
 		}
 		s := score(key, m)
-		if m.evidence.suspect(now) {
+		if m.suspect(now) {
 			if s > suspectScore {
 				suspect, suspectScore = m, s
 			}
--- a/director/director.go
+++ b/director/director.go
@@ -107,12 +107,15 @@
 	tokens  *tokenizer.Table[*member]
 	gone    *graveyard
 	out     map[string]bool
+	zones   map[string]*zoneEvidence
 	holders int
 	// outage is until when the removal of an entry proves nothing.
 	outage   time.Time
 	services map[string]Service
 	flows    *flows
 	checks   []Check
+	// checking counts the checks whose outcome isn't known yet.
+	checking int
 }
 
 // New returns a Director of a balancer in an availability zone, without a
@@ -127,6 +130,7 @@
 		tokens:   tokenizer.New[*member](),
 		gone:     newGraveyard(),
 		out:      make(map[string]bool),
+		zones:    make(map[string]*zoneEvidence),
 		services: make(map[string]Service),
 		flows:    newFlows(),
 		holders:  1,
@@ -159,7 +163,7 @@
 		// Two targets may have answered the opening. The flow belongs to the one
 		// whose answer the caller took first; a later answer of the other leaves
 		// its token with the caller until the next packet of the first.
-		token = f.settle(token)
+		token = d.flows.settle(f, token)
 	}
 	if token == 0 {
 		return Decision{Action: Drop, Reason: ReasonNoToken}
@@ -186,6 +190,9 @@
 	case gone == nil:
 		return Decision{Action: Drop, Reason: ReasonUnknown}
 	case !proved && !d.mayReset(gone, route):
+		if len(p.Data) > 0 && !gone.Draining {
+			d.doubt(now, gone)
+		}
 		return Decision{Action: Forward, Reason: ReasonLapsed, Target: &gone.Target, Token: token}
 	case p.Reset:
 		return Decision{Action: Drop, Reason: ReasonTargetGone}
@@ -203,6 +210,9 @@
 			d.doubt(now, m)
 		}
 	case nothing:
+		if len(p.Data) > 0 && m.zone.suspect(now) {
+			d.doubt(now, m)
+		}
 	}
 }
 
--- a/director/flows.go
+++ b/director/flows.go
@@ -37,15 +37,6 @@
 	acknowledged uint32
 }
 
-// settle notes the token of a packet after the opening and returns the one that
-// the flow belongs to.
-func (f *flow) settle(token tokenizer.Token) tokenizer.Token {
-	if f.settled == 0 {
-		f.settled = token
-	}
-	return f.settled
-}
-
 // observation says what a packet shows of its flow's target.
 type observation uint8
 
@@ -85,9 +76,13 @@
 // flows holds the flows of the last seconds.
 type flows struct {
 	rows map[uint64]*flow
+	// settled counts the flows of each target.
+	settled map[tokenizer.Token]int
 }
 
-func newFlows() *flows { return &flows{rows: make(map[uint64]*flow)} }
+func newFlows() *flows {
+	return &flows{rows: make(map[uint64]*flow), settled: make(map[tokenizer.Token]int)}
+}
 
 func (s *flows) find(key uint64) *flow { return s.rows[key] }
 
@@ -104,11 +99,35 @@
 func (s *flows) expire(now time.Time) {
 	for key, f := range s.rows {
 		if now.Sub(f.seen) > flowLife {
-			delete(s.rows, key)
+			s.remove(key, f)
 		}
 	}
 }
 
+func (s *flows) remove(key uint64, f *flow) {
+	delete(s.rows, key)
+	if f.settled == 0 {
+		return
+	}
+	s.settled[f.settled]--
+	if s.settled[f.settled] == 0 {
+		delete(s.settled, f.settled)
+	}
+}
+
+// settle notes the token of a packet after the opening and returns the one that
+// the flow belongs to.
+func (s *flows) settle(f *flow, token tokenizer.Token) tokenizer.Token {
+	if f.settled == 0 && token != 0 {
+		f.settled = token
+		s.settled[token]++
+	}
+	return f.settled
+}
+
+// settledOn reports whether a target has a flow that is watched here.
+func (s *flows) settledOn(token tokenizer.Token) bool { return s.settled[token] > 0 }
+
 // flowKey returns a hash of the flow's four addresses and ports.
 func flowKey(p *Packet) uint64 {
 	var data [36]byte
--- a/director/view.go
+++ b/director/view.go
@@ -64,6 +64,7 @@
 	lapsed   bool
 	pacer    limiter.Pacer
 	evidence evidence
+	zone     *zoneEvidence
 }
 
 // pool holds the targets of one service.
@@ -107,6 +108,7 @@
 	old := d.byName[t.Name]
 	if old != nil && old.Started == t.Started && old.Service == t.Service && old.ID == t.ID {
 		old.Target = t
+		old.zone = d.zoneEvidenceOf(t.AvailabilityZone)
 		old.coldUntil = now.Add(t.ColdFor)
 		old.lapsed = false
 		return
@@ -114,7 +116,7 @@
 	if old != nil {
 		d.pools[old.Service].remove(old)
 	}
-	m := &member{Target: t, coldUntil: now.Add(t.ColdFor)}
+	m := &member{Target: t, coldUntil: now.Add(t.ColdFor), zone: d.zoneEvidenceOf(t.AvailabilityZone)}
 	m.token = d.tokens.Add(t.ID, m)
 	d.byName[t.Name] = m
 	d.gone.forget(m.token)
@@ -153,8 +155,8 @@
 	d.pools[m.Service].remove(m)
 	d.tokens.Remove(m.ID)
 	d.gone.bury(m, now)
-	if !m.Draining {
-		// It may have lapsed although it lives.
+	if !m.Draining && (d.checking < lapseChecks || d.flows.settledOn(m.token)) {
+		// It may have lapsed although it lives. Its callers may wait.
 		d.doubt(now, m)
 	}
 }
