Compare ways of placing flows under load in a model of the targets

Package standin/modeler plays long and single flows on targets with few slots and a queue, in virtual time, with the shipped director and five other ways; 'standin place' prints the table. Ruled out: placement as what binds. Conclusion: rendezvous stays.

--- a/standin/commands.go
+++ b/standin/commands.go
@@ -19,6 +19,7 @@
 		cmdWait(),
 		cmdReport(),
 		cmdCompare(),
+		cmdPlace(),
 		cmdCompareCapacity(),
 		cmdSoak(),
 	}
