Have a starting crowd learn its first view from readers, packed

Cause: after a restart of all, each balancer read everything from the store. Now a starting balancer lists the others (stale, a tenth of a call); from 60 on, all but the readers ask a reader of their zone, in turn for half a second, and then the store. Answers above 1 KB travel packed, 187 B a target as 9 B, and are packed once for all. Ruled out: fewer balancers, where each reads by itself sooner (machines start within 0.3 s of each other, so a reader may be late).

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -72,6 +72,8 @@
 	// Fetch returns what changed after a revision, everything after 0, and waits
 	// for a change up to wait.
 	Fetch func(ctx context.Context, after uint64, wait time.Duration) (replicator.Update, error)
+	// List returns the keys that begin with a prefix, as they were at most seconds ago.
+	List func(ctx context.Context, prefix string) (replicator.Update, error)
 	// Decode says what a changed key means, and whether it matters. A change may
 	// come beside an error, which is then to be reported.
 	Decode func(replicator.Item) (director.Change, bool, error)
@@ -105,6 +107,8 @@
 	// viewed is closed once there is a view to decide by.
 	viewed chan struct{}
 
+	answers answers
+
 	mu       sync.Mutex
 	director *director.Director
 	view     view
@@ -188,6 +192,7 @@
 func (b *Balancer) newFollower() *follower.Follower {
 	f := follower.New(b.self())
 	f.Seeds = func() []string { return *b.seeds.Load() }
+	f.Peers = b.listPeers
 	f.Fetch = b.fetch
 	f.Merge = b.merge
 	f.Revision = func() uint64 {
--- a/balancer/fixture_test.go
+++ b/balancer/fixture_test.go
@@ -76,7 +76,10 @@
 
 func (s *store) directory() balancer.Directory {
 	return balancer.Directory{
-		Fetch:  s.fetch,
+		Fetch: s.fetch,
+		List: func(ctx context.Context, _ string) (replicator.Update, error) {
+			return s.fetch(ctx, 0, 0)
+		},
 		Decode: platform.DecodeItem,
 		Put: func(_ context.Context, key string, value []byte, _ uint64) error {
 			if err := s.check(); err != nil {
--- a/balancer/peers.go
+++ b/balancer/peers.go
@@ -9,11 +9,13 @@
 	"net/netip"
 	"net/url"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 
+	"trefoilspring.example/trefoilspring/compressor"
 	"trefoilspring.example/trefoilspring/replicator"
 )
 
@@ -23,6 +25,9 @@
 	peerTimeout = 500 * time.Millisecond
 	// peerDialTimeout bounds the opening of a connection to a peer.
 	peerDialTimeout = 300 * time.Millisecond
+	// firstDialTimeout does so for the first view, when a reader may still be without
+	// power and another one has the view: VMs of a zone start within 0.3 s.
+	firstDialTimeout = 80 * time.Millisecond
 	// maxPeerWait bounds how long a peer may have its answer wait.
 	maxPeerWait = 5 * time.Second
 	// maxPeerAnswerBytes bounds an answer: the store's values are at most 1 MB.
@@ -33,15 +38,17 @@
 	viewPath  = "/view"
 	afterName = "after"
 	waitName  = "wait-ms"
+	// heldHeader says for how many milliseconds an answer was kept before it was
+	// given, which adds to its age.
+	heldHeader = "Held-Ms"
 )
 
-func newPeerClient() *http.Client {
-	dialer := &net.Dialer{Timeout: peerDialTimeout}
+func newPeerClient(dialTimeout time.Duration) *http.Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Client{Transport: &http.Transport{
 		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: 1,
 		IdleConnTimeout:     10 * time.Second,
-		DisableCompression:  true,
 	}}
 }
 
@@ -73,7 +80,11 @@
 	if err != nil {
 		return replicator.Update{}, errors.Wrapf(err, "asking peer %s", address)
 	}
-	res, err := v.client.Do(req)
+	client := v.client
+	if !v.complete {
+		client = v.firstClient
+	}
+	res, err := client.Do(req)
 	if err != nil {
 		return replicator.Update{}, errors.Wrapf(err, "asking peer %s", address)
 	}
@@ -89,6 +100,11 @@
 	if err := cbor.Unmarshal(data, &u); err != nil {
 		return replicator.Update{}, errors.Wrapf(err, "reading the answer of peer %s", address)
 	}
+	held, err := strconv.ParseInt(res.Header.Get(heldHeader), 10, 64)
+	if err != nil {
+		return replicator.Update{}, errors.Wrapf(err, "reading the answer of peer %s: %s", address, heldHeader)
+	}
+	u.Age += time.Duration(held) * time.Millisecond
 	if u.Revision == 0 {
 		return replicator.Update{}, errors.Wrapf(errNoView, "asking peer %s", address)
 	}
@@ -113,17 +129,70 @@
 		return
 	}
 	u := b.since(r.Context(), after, min(time.Duration(ms)*time.Millisecond, maxPeerWait))
-	data, err := cbor.Marshal(u)
+	a, err := b.answers.encode(time.Now(), after, u)
 	if err != nil {
 		b.log.Error("view can't be encoded for a peer", "cause", err.Error())
 		http.Error(w, "encoding failed", http.StatusInternalServerError)
 		return
 	}
-	if _, err := w.Write(data); err != nil {
+	if a.packed {
+		w.Header().Set("Content-Encoding", "gzip")
+	}
+	w.Header().Set(heldHeader, strconv.FormatInt(time.Since(a.at).Milliseconds(), 10))
+	if _, err := w.Write(a.body); err != nil {
 		b.metrics.peerAnswersLost.Inc()
 	}
 }
 
+// answer is the encoded answer to a peer's question.
+type answer struct {
+	after, revision uint64
+	at              time.Time
+	body            []byte
+	packed          bool
+}
+
+// answers encodes answers to peers, a large one once for all that ask for it at
+// about the same time. Load pattern: all balancers of a large fleet start at once
+// and each asks a reader of its zone for everything.
+type answers struct {
+	mu     sync.Mutex
+	latest answer
+}
+
+const (
+	// packAnswerBytes is the size of an answer from which on it is packed and kept
+	// for others. A change of a few registrations is smaller.
+	packAnswerBytes = 1024
+	// keepAnswer is how long a packed answer is given to others. What changed since
+	// reaches them by their next question.
+	keepAnswer = 200 * time.Millisecond
+)
+
+// encode returns the answer with what changed after a revision.
+func (s *answers) encode(now time.Time, after uint64, u replicator.Update) (answer, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a := s.latest
+	if a.body != nil && a.after == after && (a.revision == u.Revision || after == 0) && now.Sub(a.at) < keepAnswer {
+		return a, nil
+	}
+	data, err := cbor.Marshal(u)
+	if err != nil {
+		return answer{}, errors.Wrap(err, "encoding a view")
+	}
+	a = answer{after: after, revision: u.Revision, at: now, body: data}
+	if len(data) < packAnswerBytes {
+		return a, nil
+	}
+	if a.body, err = compressor.Pack(data); err != nil {
+		return answer{}, err
+	}
+	a.packed = true
+	s.latest = a
+	return a, nil
+}
+
 // serve serves HTTP at an address until ctx ends.
 func serve(ctx context.Context, address netip.AddrPort, handler http.Handler) error {
 	var config net.ListenConfig
--- a/balancer/view.go
+++ b/balancer/view.go
@@ -31,6 +31,8 @@
 	// changed is closed and replaced when the replica changes.
 	changed chan struct{}
 	client  *http.Client
+	// firstClient asks for the first view.
+	firstClient *http.Client
 	// complete says that there has been a configuration.
 	complete bool
 }
@@ -38,7 +40,8 @@
 func (v *view) init() {
 	v.peers = make(map[string]follower.Peer)
 	v.changed = make(chan struct{})
-	v.client = newPeerClient()
+	v.client = newPeerClient(peerDialTimeout)
+	v.firstClient = newPeerClient(firstDialTimeout)
 }
 
 // merge takes over an update and tells the director and waiting peers.
@@ -127,21 +130,45 @@
 	return key[len(balancerPrefix):], true
 }
 
+// listPeers returns the balancers that the store lists now, before there is a view.
+func (b *Balancer) listPeers(ctx context.Context) ([]follower.Peer, error) {
+	u, err := b.directory.List(ctx, balancerPrefix)
+	if err != nil {
+		return nil, err
+	}
+	peers := make([]follower.Peer, 0, len(u.Items))
+	for _, item := range u.Items {
+		if name, ok := balancerName(item.Key); ok {
+			if p, ok := b.decodePeer(name, item); ok {
+				peers = append(peers, p)
+			}
+		}
+	}
+	return peers, nil
+}
+
+// decodePeer reads a balancer's registration. One that can't be read is logged.
+func (b *Balancer) decodePeer(name string, item replicator.Item) (follower.Peer, bool) {
+	var r registration
+	if err := json.Unmarshal(item.Value, &r); err != nil {
+		b.log.Warn("registration of a balancer can't be read", "peer", name, "cause", err.Error())
+		return follower.Peer{}, false
+	}
+	return follower.Peer{Name: name, AvailabilityZone: r.AvailabilityZone, Address: r.Address, Strength: r.Strength}, true
+}
+
 func (b *Balancer) applyPeer(name string, item replicator.Item) {
 	if item.Removed {
 		delete(b.view.peers, name)
 		b.log.Info("balancer left", "peer", name)
 	} else {
-		var r registration
-		if err := json.Unmarshal(item.Value, &r); err != nil {
-			b.log.Warn("registration of a balancer can't be read", "peer", name, "cause", err.Error())
+		p, ok := b.decodePeer(name, item)
+		if !ok {
 			return
 		}
-		b.view.peers[name] = follower.Peer{
-			Name: name, AvailabilityZone: r.AvailabilityZone, Address: r.Address, Strength: r.Strength,
-		}
+		b.view.peers[name] = p
 		if b.view.complete {
-			b.log.Info("balancer registered", "peer", name, "zone", r.AvailabilityZone)
+			b.log.Info("balancer registered", "peer", name, "zone", p.AvailabilityZone)
 		}
 	}
 	b.director.SetHolders(len(b.view.peers))
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -102,6 +102,11 @@
 	nearby  []Peer
 	sources map[string]*health
 	turn    int
+	// starting says that no source has answered yet, and patientUntil is until when
+	// the first view is expected from a reader, which may be starting itself.
+	starting     bool
+	patientUntil time.Time
+	tries        int
 }
 
 // NewCore returns the Core of one balancer, which knows no peers.
@@ -141,12 +146,36 @@
 
 func rank(name string) uint64 { return xxhash.Sum64String(name) }
 
+const (
+	// crowd is the number of balancers from which on a starting one asks a reader for
+	// its first view. Below it, all can read the store at once: 60 views of 200 KB
+	// take 0.1 s of a link of 1 Gbit/s.
+	crowd = 60
+	// firstPatience is how long a reader may take to give the first view. VMs start
+	// within 0.3 s of each other, and a reader of 3,000 targets takes 0.2 s.
+	firstPatience = 500 * time.Millisecond
+)
+
+// Begin notes that the balancer starts, with the balancers that the store lists.
+// Load pattern: hundreds of balancers start at once, and if each read everything,
+// the store's link would be full for seconds.
+func (c *Core) Begin(now time.Time, peers []Peer) {
+	c.SetPeers(peers)
+	c.starting = true
+	if len(peers) >= crowd {
+		c.patientUntil = now.Add(firstPatience)
+	}
+}
+
+// Patient reports whether the first view is still expected from a reader.
+func (c *Core) Patient(now time.Time) bool { return c.starting && now.Before(c.patientUntil) }
+
 // Next returns the source to ask now, or how long to wait before there is one.
 func (c *Core) Next(now time.Time) (Source, time.Duration) {
 	readers := c.readers(now)
-	if !slices.Contains(readers, c.self) {
+	if (!c.starting || c.Patient(now)) && !slices.Contains(readers, c.self) {
 		// Halves of the zone ask different readers.
-		return Source{Peer: readers[rank(c.self.Name)%uint64(len(readers))]}, 0
+		return Source{Peer: readers[(rank(c.self.Name)+uint64(c.tries))%uint64(len(readers))]}, 0
 	}
 	retry := c.healthOf("").shunUntil
 	if !now.Before(retry) {
@@ -200,10 +229,19 @@
 // failed.
 func (c *Core) Done(now time.Time, s Source, age time.Duration, failed bool) {
 	h := c.healthOf(s.Peer.Address)
+	if !failed {
+		c.starting = false
+		c.tries = 0
+	}
 	if !failed && age <= staleAge {
 		*h = health{}
 		return
 	}
+	if !s.Store() && c.Patient(now) {
+		// It may be starting too.
+		c.tries++
+		return
+	}
 	h.failures++
 	if s.Store() {
 		h.shunUntil = now.Add(c.storeRetry())
--- a/follower/loop.go
+++ b/follower/loop.go
@@ -23,6 +23,9 @@
 	// failurePause follows a failure, so that sources which refuse at once are not
 	// asked in a tight loop.
 	failurePause = 100 * time.Millisecond
+	// firstPause follows a failure to get the first view from a reader that may be
+	// starting, as many of its zone do then.
+	firstPause = 20 * time.Millisecond
 )
 
 // Fetch asks a source for what it knows beyond a revision. It waits for a change
@@ -31,6 +34,9 @@
 
 // Follower is the loop around Core. Its fields are set before Run is called.
 type Follower struct {
+	// Peers returns the balancers that the store lists. Without it, or if it fails,
+	// none are known at the start.
+	Peers func(ctx context.Context) ([]Peer, error)
 	// Fetch asks a source.
 	Fetch Fetch
 	// Merge takes over an update and returns whether anything changed, and the
@@ -50,6 +56,7 @@
 // New returns a Follower of one balancer.
 func New(self Peer) *Follower {
 	return &Follower{
+		Peers: func(context.Context) ([]Peer, error) { return nil, nil },
 		Seeds: func() []string { return nil },
 		Log:   slog.New(slog.DiscardHandler),
 		core:  NewCore(self),
@@ -59,6 +66,7 @@
 
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
+	f.meet(ctx)
 	for ctx.Err() == nil {
 		f.core.SetSeeds(f.Seeds())
 		source, wait := f.core.Next(time.Now())
@@ -70,6 +78,16 @@
 	return nil
 }
 
+// meet learns who the other balancers are.
+func (f *Follower) meet(ctx context.Context) {
+	peers, err := f.Peers(ctx)
+	if err != nil {
+		f.report(Source{}, err)
+		f.core.Done(time.Now(), Source{}, 0, true)
+	}
+	f.core.Begin(time.Now(), peers)
+}
+
 // step asks a source once and returns how long to pause.
 func (f *Follower) step(ctx context.Context, source Source) time.Duration {
 	wait := peerWait
@@ -82,6 +100,9 @@
 	}
 	f.core.Done(time.Now(), source, update.Age, err != nil)
 	f.report(source, err)
+	if err != nil && f.core.Patient(time.Now()) {
+		return firstPause
+	}
 	if err != nil {
 		return failurePause
 	}
--- /dev/null
+++ b/follower/start_test.go
@@ -0,0 +1,88 @@
+package follower_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
+
+	"trefoilspring.example/trefoilspring/follower"
+	"trefoilspring.example/trefoilspring/replicator"
+)
+
+// starting returns the cores of a zone whose balancers all start now, and how many
+// of them ask the store first.
+func starting(peers []follower.Peer) (all []*follower.Core, reading int) {
+	for _, self := range peers {
+		c := follower.NewCore(self)
+		c.Begin(start, peers)
+		if s, wait := c.Next(start); wait == 0 && s.Store() {
+			reading++
+		}
+		all = append(all, c)
+	}
+	return all, reading
+}
+
+// Load pattern: all balancers of a large fleet start at once. Before, each read
+// everything from the store: 300 times 0.8 MB with 3,000 targets.
+func TestOnlyReadersReadTheStoreAtTheStartOfACrowd(t *testing.T) {
+	is := is.New(t)
+	_, reading := starting(zone("a", 75))
+	is.Equal(reading, 2)
+	// A small fleet is ready sooner if each reads by itself.
+	_, reading = starting(zone("a", 20))
+	is.Equal(reading, 20)
+}
+
+// The readers are not up yet, or never come: they are asked in turn for half a
+// second, and then the store.
+func TestStartGoesOnWithoutReaders(t *testing.T) {
+	is := is.New(t)
+	peers := zone("a", 75)
+	all, _ := starting(peers)
+	for _, c := range all {
+		now := start
+		asked := make(map[string]bool)
+		for now.Before(start.Add(500 * time.Millisecond)) {
+			s, wait := c.Next(now)
+			is.Equal(wait, time.Duration(0))
+			if s.Store() { // a reader itself
+				break
+			}
+			asked[s.Peer.Name] = true
+			c.Done(now, s, 0, true)
+			now = now.Add(100 * time.Millisecond)
+		}
+		s, _ := c.Next(start.Add(500 * time.Millisecond))
+		is.True(s.Store())
+		is.True(len(asked) == 2 || len(asked) == 0)
+	}
+}
+
+// The store can't be reached at the start: the seeds are asked without a second try.
+func TestSeedsAreAskedIfBalancersCannotBeListed(t *testing.T) {
+	is := is.New(t)
+	ctx, stop := context.WithTimeout(t.Context(), 5*time.Second)
+	defer stop()
+	f := follower.New(zone("a", 1)[0])
+	f.Peers = func(context.Context) ([]follower.Peer, error) { return nil, errors.New("down") }
+	f.Seeds = func() []string { return []string{"a-7:1"} }
+	f.Revision = func() uint64 { return 0 }
+	f.Merge = func(replicator.Update, follower.Source) (bool, []follower.Peer) { return true, nil }
+	var first follower.Source
+	f.Fetch = func(_ context.Context, s follower.Source, _ uint64, _ time.Duration) (replicator.Update, error) {
+		if first.Store() {
+			first = s
+		}
+		stop()
+		return replicator.Update{}, nil
+	}
+	var group errgroup.Group
+	group.Go(func() error { return f.Run(ctx) })
+	is.NoErr(group.Wait())
+	is.Equal(first.Peer.Address, "a-7:1")
+}
