Let status and explain ask balancers on the users' platform

It now answers /status, /explain and /debug/vars at its metrics address; the types and the reading of the question move from server to package explainer, which both use. Lines that tell of single targets and balancers have a budget of 50 a second together, since a lost zone of hundreds wrote as many lines on each balancer. Ruled out: an address of its own, which the platform has no port for. Conclusion: the same two commands work wherever a balancer runs.

--- /dev/null
+++ b/balancer/explain_test.go
@@ -0,0 +1,60 @@
+package balancer_test
+
+import (
+	"encoding/json"
+	"net/http"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"trefoilspring.example/trefoilspring/explainer"
+)
+
+func TestBalancerExplainsItself(t *testing.T) {
+	is := is.New(t)
+	s := &store{}
+	s.set("op/config", configurationText)
+	s.set("op/evacuate/c", "x")
+	s.set("servers/i-1f", registration(newServer(t).address))
+	n := newNode(t, "a-1", s)
+	n.start(t)
+	eventually(t, "view", func() bool { return n.log.has("first view") })
+
+	var status explainer.Status
+	answer(t, n, explainer.StatusPath, &status)
+	is.Equal(status.Name, "a-1")
+	is.Equal(status.State, "ready")
+	is.Equal(status.Active, uint64(3))
+	is.Equal(status.View.Targets, 1)
+	is.Equal(status.View.Source, "store")
+	is.Equal(status.View.ZonesOut, []string{"c"})
+
+	var e explainer.Explanation
+	answer(t, n, explainer.FlowPath+"?service=198.18.0.1:443&source=203.0.113.7:50123", &e)
+	is.Equal(e.Service, "s")
+	is.Equal(e.Opening.Target, "i-1f")
+	is.Equal(e.Opening.Action, "forward")
+	is.True(e.Opening.Why != "")
+	answer(t, n, explainer.FlowPath+"?service=198.18.0.9:443&source=203.0.113.7:50123", &e)
+	is.Equal(e.Opening.Reason, "no-route")
+
+	code, body := get(n.settings.MetricsAddress, explainer.FlowPath+"?service=somewhere&source=203.0.113.7:50123")
+	is.Equal(code, http.StatusBadRequest)
+	is.Equal(body, "reading the parameter service: not an ip:port\n")
+
+	var counters map[string]uint64
+	answer(t, n, explainer.CountersPath, &counters)
+	is.Equal(len(counters), 0)
+}
+
+// answer reads the JSON at a path of a balancer's metrics address.
+func answer(t *testing.T, n *node, path string, v any) {
+	t.Helper()
+	code, body := get(n.settings.MetricsAddress, path)
+	if code != http.StatusOK {
+		t.Fatal(code, body)
+	}
+	if err := json.Unmarshal([]byte(body), v); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/balancer/meters.go
+++ b/balancer/meters.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -23,8 +24,16 @@
 	entryErrors     *metrics.Counter
 	peerAnswersLost *metrics.Counter
 	linesLeftOut    *metrics.Counter
-	decisions       map[string]*metrics.Counter
-	bad             map[string]*metrics.Counter
+	// mu guards decisions.
+	mu        sync.Mutex
+	decisions map[decisionKey]*metrics.Counter
+	bad       map[string]*metrics.Counter
+}
+
+// decisionKey is what decisions are counted by.
+type decisionKey struct {
+	action director.Action
+	reason director.Reason
 }
 
 func newMeters(b *Balancer) *meters {
@@ -36,7 +45,7 @@
 		entryErrors:     set.NewCounter("trefoilspring_entry_errors_total"),
 		peerAnswersLost: set.NewCounter("trefoilspring_peer_answers_lost_total"),
 		linesLeftOut:    set.NewCounter("trefoilspring_log_lines_left_out_total"),
-		decisions:       make(map[string]*metrics.Counter),
+		decisions:       make(map[decisionKey]*metrics.Counter),
 		bad:             make(map[string]*metrics.Counter),
 	}
 	set.NewGauge("trefoilspring_view_age_seconds", func() float64 {
@@ -71,7 +80,9 @@
 
 // decision counts a decision by its action and reason, under the lock.
 func (m *meters) decision(d director.Decision) {
-	key := d.Action.String() + string(d.Reason)
+	key := decisionKey{action: d.Action, reason: d.Reason}
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	c := m.decisions[key]
 	if c == nil {
 		c = m.set.NewCounter(fmt.Sprintf(`trefoilspring_packets_total{decision=%q,reason=%q}`, d.Action.String(), d.Reason))
@@ -80,6 +91,29 @@
 	c.Inc()
 }
 
+// refusals returns how many packets were refused and dropped, by reason.
+func (m *meters) refusals() map[string]uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	counts := make(map[string]uint64)
+	for key, c := range m.decisions {
+		switch key.action {
+		case director.Reset:
+			counts[refusedPrefix+string(key.reason)] = c.Get()
+		case director.Drop:
+			counts[droppedPrefix+string(key.reason)] = c.Get()
+		case director.Forward:
+		}
+	}
+	return counts
+}
+
+// Prefixes of the counters that status sums over a fleet.
+const (
+	refusedPrefix = "refused-"
+	droppedPrefix = "dropped-"
+)
+
 // Kinds of sources of the view.
 const (
 	sourceStore = "store"
@@ -118,5 +152,6 @@
 		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
 		b.metrics.set.WritePrometheus(w)
 	})
+	b.handleQuestions(mux)
 	return serve(ctx, b.settings.MetricsAddress, mux)
 }
--- a/balancer/view.go
+++ b/balancer/view.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"encoding/json"
+	"log/slog"
 	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"trefoilspring.example/trefoilspring/follower"
+	"trefoilspring.example/trefoilspring/logger"
 	"trefoilspring.example/trefoilspring/replicator"
 )
 
@@ -35,10 +37,14 @@
 	firstClient *http.Client
 	// complete says that there has been a configuration.
 	complete bool
+	lines    *logger.Budget
+	// source names whom the last update came from.
+	source string
 }
 
 func (v *view) init() {
 	v.peers = make(map[string]follower.Peer)
+	v.lines = logger.NewBudget(changeLines)
 	v.changed = make(chan struct{})
 	v.client = newPeerClient(peerDialTimeout)
 	v.firstClient = newPeerClient(firstDialTimeout)
@@ -50,6 +56,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	v := &b.view
+	v.source = s.String()
 	if age, known := v.replica.Age(now); known && age > outageGap {
 		b.director.SetOutage(now.Add(returnGrace))
 		b.log.Warn("view was out of date", "age-ms", age.Milliseconds(), "source", s.String())
@@ -78,7 +85,7 @@
 // apply takes over one changed key.
 func (b *Balancer) apply(now time.Time, item replicator.Item, s follower.Source) {
 	if name, ok := balancerName(item.Key); ok {
-		b.applyPeer(name, item)
+		b.applyPeer(now, name, item)
 		return
 	}
 	item, err := item.Unpack()
@@ -105,17 +112,35 @@
 	switch {
 	case change.Configuration != nil:
 		log.Info("configuration in force", "version", change.Configuration.Version, "routes", len(change.Configuration.Routes))
-	case change.Target != nil:
+	case change.Target != nil && b.mayLogChange(now, &log):
 		t := change.Target
 		log.Info("target registered", "target", t.Name, "service", t.Service, "zone", t.AvailabilityZone,
 			"draining", t.Draining, "cold-ms", t.ColdFor.Milliseconds())
-	case change.Removed != "":
+	case change.Removed != "" && b.mayLogChange(now, &log):
 		log.Info("target removed", "target", change.Removed)
 	case change.Zone != "":
 		log.Info("availability zone changed", "zone", change.Zone, "out", change.Out)
 	}
 }
 
+// changeLines is how many lines a second tell of single targets and balancers. When
+// a zone with hundreds of targets is lost, each balancer hears of all of them.
+const changeLines = 50
+
+// mayLogChange reports whether a line may tell of one more target or balancer, and
+// adds to the log what was left out before.
+func (b *Balancer) mayLogChange(now time.Time, log **slog.Logger) bool {
+	left, ok := b.view.lines.Take(now)
+	if !ok {
+		b.metrics.linesLeftOut.Inc()
+		return false
+	}
+	if left > 0 {
+		*log = (*log).With("left-out", left)
+	}
+	return true
+}
+
 // registration is what a balancer writes of itself.
 type registration struct {
 	AvailabilityZone string `json:"availability-zone"`
@@ -157,18 +182,21 @@
 	return follower.Peer{Name: name, AvailabilityZone: r.AvailabilityZone, Address: r.Address, Strength: r.Strength}, true
 }
 
-func (b *Balancer) applyPeer(name string, item replicator.Item) {
+func (b *Balancer) applyPeer(now time.Time, name string, item replicator.Item) {
+	log := b.log
 	if item.Removed {
 		delete(b.view.peers, name)
-		b.log.Info("balancer left", "peer", name)
+		if b.mayLogChange(now, &log) {
+			log.Info("balancer left", "peer", name)
+		}
 	} else {
 		p, ok := b.decodePeer(name, item)
 		if !ok {
 			return
 		}
 		b.view.peers[name] = p
-		if b.view.complete {
-			b.log.Info("balancer registered", "peer", name, "zone", p.AvailabilityZone)
+		if b.view.complete && b.mayLogChange(now, &log) {
+			log.Info("balancer registered", "peer", name, "zone", p.AvailabilityZone)
 		}
 	}
 	b.director.SetHolders(len(b.view.peers))
--- a/cmd_explain.go
+++ b/cmd_explain.go
@@ -8,7 +8,7 @@
 
 	"github.com/urfave/cli/v3"
 
-	"trefoilspring.example/trefoilspring/server"
+	"trefoilspring.example/trefoilspring/explainer"
 )
 
 func cmdExplain() *cli.Command {
@@ -16,7 +16,8 @@
 		Name:  "explain",
 		Usage: "say which target a flow would go to, and why",
 		Description: `Asks one balancer and changes nothing there. If it hands the flow on, ask the
-balancer that it names.
+balancer that it names. One that runs on the users' platform ('balance') is asked
+at its metrics address.
 
 Example:
    trefoilspring explain --admin 127.0.0.1:9102 --service 198.51.100.10:443 --source 203.0.113.7:50123
@@ -41,7 +42,7 @@
 
 // explained is the outcome of explain.
 type explained struct {
-	server.Explanation
+	explainer.Explanation
 }
 
 // String says the outcome in words.
@@ -52,7 +53,12 @@
 		service = "none"
 	}
 	fmt.Fprintf(&b, "balancer     %s, revision %d\n", e.Balancer, e.Revision)
-	fmt.Fprintf(&b, "service      %s, bucket %d\n", service, e.Bucket)
+	if e.Current == "" {
+		// The balancer keeps no buckets, or has no target for this one.
+		fmt.Fprintf(&b, "service      %s\n", service)
+	} else {
+		fmt.Fprintf(&b, "service      %s, bucket %d\n", service, e.Bucket)
+	}
 	if e.Tracked {
 		fmt.Fprintf(&b, "tracked      base target %s, current target %s, resolver %s\n", e.Base, e.Current, e.Resolver)
 	}
@@ -61,7 +67,7 @@
 	return b.String()
 }
 
-func outcomeText(o server.Outcome) string {
+func outcomeText(o explainer.Outcome) string {
 	switch {
 	case o.Target != "":
 		return fmt.Sprintf("%s to %s at %s: %s", o.Action, o.Target, o.Address, o.Why)
@@ -78,7 +84,7 @@
 		query.Set(name, c.String(name))
 	}
 	var e explained
-	if err := fetchAdmin(ctx, c.String(adminName), "/explain?"+query.Encode(), &e.Explanation); err != nil {
+	if err := fetchAdmin(ctx, c.String(adminName), explainer.FlowPath+"?"+query.Encode(), &e.Explanation); err != nil {
 		return err
 	}
 	return output(c, e)
--- a/cmd_status.go
+++ b/cmd_status.go
@@ -14,7 +14,7 @@
 	"github.com/urfave/cli/v3"
 	"golang.org/x/sync/errgroup"
 
-	"trefoilspring.example/trefoilspring/server"
+	"trefoilspring.example/trefoilspring/explainer"
 )
 
 func cmdStatus() *cli.Command {
@@ -22,7 +22,9 @@
 		Name:  "status",
 		Usage: "show a fleet of balancers at a glance",
 		Description: `Shows for each balancer its state, revision, members, tracked buckets and
-records, and for the fleet its refusals and drops by reason.
+records, and for the fleet its refusals and drops by reason. Balancers that run on
+the users' platform ('balance') answer at their metrics address, and say in more
+lines what they believe.
 
 Example:
    trefoilspring status --admin 127.0.0.1:9102,127.0.0.1:9106 --output json
@@ -50,8 +52,8 @@
 
 // balancerStatus is one balancer of a fleet.
 type balancerStatus struct {
-	Admin  string        `json:"admin"`
-	Status server.Status `json:"status"`
+	Admin  string           `json:"admin"`
+	Status explainer.Status `json:"status"`
 	// Fault says why the balancer could not be asked; it is empty otherwise.
 	Fault string `json:"fault,omitempty"`
 
@@ -84,9 +86,9 @@
 
 func askBalancer(ctx context.Context, admin string) balancerStatus {
 	b := balancerStatus{Admin: admin}
-	err := fetchAdmin(ctx, admin, "/status", &b.Status)
+	err := fetchAdmin(ctx, admin, explainer.StatusPath, &b.Status)
 	if err == nil {
-		err = fetchAdmin(ctx, admin, "/debug/vars", &b.counters)
+		err = fetchAdmin(ctx, admin, explainer.CountersPath, &b.counters)
 	}
 	if err != nil {
 		b.Fault = err.Error()
@@ -138,6 +140,9 @@
 	}
 	// A strings.Builder takes every write.
 	_ = table.Flush()
+	for _, row := range f.Balancers {
+		writeView(&b, row.Status)
+	}
 	writeCounts(&b, "refused", f.Refused)
 	writeCounts(&b, "dropped", f.Dropped)
 	return b.String()
@@ -158,6 +163,23 @@
 		s.Name, s.AvailabilityZone, s.State, s.Active, s.Prepared, len(s.Members)+1, suspects, s.TrackedBuckets, s.Records)
 }
 
+// writeView says what a balancer on the users' platform believes.
+func writeView(b *strings.Builder, s explainer.Status) {
+	v := s.View
+	if v == nil {
+		return
+	}
+	fmt.Fprintf(b, "%s: view from %s, %d ms old, %d targets\n", s.Name, v.Source, v.AgeMs, v.Targets)
+	for _, list := range []struct {
+		title string
+		names []string
+	}{{"unreachable targets", v.Unreachable}, {"suspect zones", v.SuspectZones}, {"zones out", v.ZonesOut}} {
+		if len(list.names) > 0 {
+			fmt.Fprintf(b, "%s: %s: %s\n", s.Name, list.title, strings.Join(list.names, ", "))
+		}
+	}
+}
+
 func writeCounts(b *strings.Builder, title string, counts map[string]int64) {
 	if len(counts) == 0 {
 		fmt.Fprintf(b, "%s: none\n", title)
--- /dev/null
+++ b/director/explain_test.go
@@ -0,0 +1,55 @@
+package director_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"trefoilspring.example/trefoilspring/director"
+)
+
+// What is explained is what then happens, and explaining changes nothing.
+func TestExplainedIsDecided(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := newDirector(rapid.IntRange(0, 12).Draw(t, "targets"))
+		if rapid.Bool().Draw(t, "out") {
+			d.SetOut("b", true)
+		}
+		to := rapid.SampledFrom([]netip.AddrPort{board, holds, cards}).Draw(t, "route")
+		p := opening(rapid.IntRange(0, 1000).Draw(t, "caller"), 0)
+		p.Destination = to
+		e := d.Explain(start, p)
+		if d.Flows() != 0 {
+			t.Fatal("explaining left a flow")
+		}
+		got := d.Decide(start, p)
+		if e.Opening.Action != got.Action || e.Opening.Reason != got.Reason || e.Opening.Token != got.Token {
+			t.Fatalf("explained %+v, decided %+v", e.Opening, got)
+		}
+		if got.Action == director.Forward {
+			later := *p
+			later.Opening, later.Token = false, got.Token
+			if next := d.Decide(start, &later); next.Reason != e.Established.Reason || next.Target.Name != e.Established.Target.Name {
+				t.Fatalf("explained %+v, decided %+v", e.Established, next)
+			}
+		}
+	})
+}
+
+func TestExplainedFlowOfAnUnreachableTarget(t *testing.T) {
+	is := is.New(t)
+	d := newDirector(1)
+	token := request(d, start)
+	now := start.Add(time.Second)
+	repeat(d, now, token)
+	d.Checked(now, d.Checks()[0], director.Unreachable)
+	e := d.Explain(now, opening(1, 0))
+	is.True(e.Watched)
+	is.Equal(e.Established.Reason, director.ReasonCutOff)
+	is.Equal(d.Suspicions(now).Unreachable, []string{"t-1"})
+	unknown := d.Explain(now, &director.Packet{Source: caller(1), Destination: netip.MustParseAddrPort("198.18.9.9:1")})
+	is.Equal(unknown.Opening.Reason, director.ReasonNoRoute)
+}
--- a/director/gone_test.go
+++ b/director/gone_test.go
@@ -20,10 +20,10 @@
 	return token
 }
 
-// repeat sends a request of flow n that nothing answers, twice.
-func repeat(d *director.Director, now time.Time, n int, token tokenizer.Token) director.Decision {
-	d.Decide(now, data(n, board, token, 100, 50))
-	return d.Decide(now.Add(300*time.Millisecond), data(n, board, token, 100, 50))
+// repeat sends a request of flow 1 that nothing answers, twice.
+func repeat(d *director.Director, now time.Time, token tokenizer.Token) director.Decision {
+	d.Decide(now, data(1, board, token, 100, 50))
+	return d.Decide(now.Add(300*time.Millisecond), data(1, board, token, 100, 50))
 }
 
 // Load pattern: a zone is cut off while callers wait for its targets on open
@@ -33,7 +33,7 @@
 	d := newDirector(1)
 	token := request(d, start)
 	now := start.Add(time.Second)
-	is.Equal(repeat(d, now, 1, token).Action, director.Forward)
+	is.Equal(repeat(d, now, token).Action, director.Forward)
 	checks := d.Checks()
 	is.Equal(len(checks), 1)
 	reset := d.Checked(now.Add(600*time.Millisecond), checks[0], director.Unreachable)
@@ -65,7 +65,7 @@
 		d := newDirector(1)
 		token := request(d, start)
 		now := start.Add(time.Second)
-		repeat(d, now, 1, token)
+		repeat(d, now, token)
 		is.Equal(len(d.Checked(now, d.Checks()[0], v)), 0)
 		is.Equal(d.Decide(now, data(1, board, token, 200, 50)).Action, director.Forward)
 	}
@@ -219,7 +219,7 @@
 	is := is.New(t)
 	d := newDirector(1)
 	token := request(d, start)
-	repeat(d, start.Add(time.Second), 1, token)
+	repeat(d, start.Add(time.Second), token)
 	checks := d.Checks()
 	again := target(1)
 	again.Started = 2
--- a/server/admin.go
+++ b/server/admin.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -11,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"trefoilspring.example/trefoilspring/detector"
+	"trefoilspring.example/trefoilspring/explainer"
 )
 
 // adminTimeout bounds the reading of one admin request.
@@ -23,33 +23,21 @@
 	detector.Gone:    "gone",
 }
 
-// Status is what a balancer says of itself at /status.
-type Status struct {
-	Name             string         `json:"name"`
-	AvailabilityZone string         `json:"availability-zone"`
-	State            string         `json:"state"`
-	Active           uint64         `json:"active-revision"`
-	Prepared         uint64         `json:"prepared-revision"`
-	Members          []MemberStatus `json:"members"`
-	TrackedBuckets   int            `json:"tracked-buckets"`
-	Records          int            `json:"records"`
-}
-
-// MemberStatus is another balancer as this one sees it.
-type MemberStatus struct {
-	Name    string `json:"name"`
-	State   string `json:"state"`
-	Suspect bool   `json:"suspect"`
-	Active  uint64 `json:"active-revision"`
-}
-
 func (s *Server) serveAdmin(ctx context.Context) error {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /live", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintln(w, "live") })
 	mux.HandleFunc("GET /ready", s.serveReady)
-	mux.HandleFunc("GET /status", s.serveStatus)
-	mux.HandleFunc("GET /debug/vars", s.serveVars)
-	mux.HandleFunc("GET /explain", s.serveExplain)
+	mux.HandleFunc("GET "+explainer.StatusPath, explainer.Serve(func(*http.Request) (any, error) {
+		return s.status(time.Now()), nil
+	}))
+	mux.HandleFunc("GET "+explainer.CountersPath, s.serveVars)
+	mux.HandleFunc("GET "+explainer.FlowPath, explainer.Serve(func(r *http.Request) (any, error) {
+		flow, err := explainer.ReadFlow(r.URL.Query())
+		if err != nil {
+			return nil, err
+		}
+		return s.explain(time.Now(), flow), nil
+	}))
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: adminTimeout}
 	var config net.ListenConfig
 	listener, err := config.Listen(ctx, "tcp", s.settings.AdminAddress.String())
@@ -75,22 +63,16 @@
 	fmt.Fprintln(w, stateNames[state])
 }
 
-func (s *Server) serveStatus(w http.ResponseWriter, _ *http.Request) {
-	w.Header().Set("Content-Type", "application/json")
-	// A caller that went away needs no answer.
-	_ = json.NewEncoder(w).Encode(s.status(time.Now()))
-}
-
 func (s *Server) serveVars(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
 	fmt.Fprintln(w, s.vars.String())
 }
 
-func (s *Server) status(now time.Time) Status {
+func (s *Server) status(now time.Time) explainer.Status {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := s.coordinator.Tracker()
-	status := Status{
+	status := explainer.Status{
 		Name:             s.settings.Name,
 		AvailabilityZone: s.settings.AvailabilityZone,
 		State:            stateNames[s.coordinator.State()],
@@ -103,7 +85,7 @@
 	}
 	for _, m := range s.coordinator.Members(now) {
 		contact, _ := s.node.Contact(m.ID())
-		status.Members = append(status.Members, MemberStatus{
+		status.Members = append(status.Members, explainer.MemberStatus{
 			Name:    contact.Name,
 			State:   stateNames[m.State()],
 			Suspect: m.Suspect(),
--- a/server/explain.go
+++ b/server/explain.go
@@ -1,100 +1,27 @@
 package server
 
 import (
-	"encoding/json"
-	"net/http"
-	"net/netip"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"trefoilspring.example/trefoilspring/detector"
+	"trefoilspring.example/trefoilspring/explainer"
 	"trefoilspring.example/trefoilspring/parser"
 	"trefoilspring.example/trefoilspring/planner"
 	"trefoilspring.example/trefoilspring/tracker"
 )
 
-// Explanation is what a balancer says at /explain of one flow.
-type Explanation struct {
-	Balancer string `json:"balancer"`
-	Revision uint64 `json:"active-revision"`
-	// Service is empty where no service has the address.
-	Service string `json:"service"`
-	Bucket  int    `json:"bucket"`
-	Tracked bool   `json:"tracked"`
-	// Recorded says that this balancer holds a record of the flow.
-	Recorded bool `json:"recorded"`
-	// Base and Current are targets; a bucket that isn't tracked has Current only.
-	Base     string `json:"base-target,omitempty"`
-	Current  string `json:"current-target,omitempty"`
-	Resolver string `json:"resolver,omitempty"`
-	// Opening is what happens to the first packet of the flow, Established to a
-	// later one.
-	Opening     Outcome `json:"opening"`
-	Established Outcome `json:"established"`
-}
-
-// Outcome is what a balancer would do with one packet.
-type Outcome struct {
-	Action  string         `json:"action"`
-	Target  string         `json:"target,omitempty"`
-	Address netip.AddrPort `json:"address,omitzero"`
-	// Member is the balancer that the packet is handed on to.
-	Member string `json:"member,omitempty"`
-	Reason string `json:"reason,omitempty"`
-	// Why says in words which state led there.
-	Why string `json:"why"`
-}
-
-// flowQuery is the question of /explain.
-type flowQuery struct {
-	service, source netip.AddrPort
-	tcp             bool
-}
-
-func flowQueryOf(r *http.Request) (flowQuery, error) {
-	values := r.URL.Query()
-	var q flowQuery
-	var err error
-	if q.service, err = netip.ParseAddrPort(values.Get("service")); err != nil {
-		return q, errors.Wrap(err, "reading the parameter service")
-	}
-	if q.source, err = netip.ParseAddrPort(values.Get("source")); err != nil {
-		return q, errors.Wrap(err, "reading the parameter source")
-	}
-	switch protocol := values.Get("protocol"); protocol {
-	case "tcp":
-		q.tcp = true
-	case "udp", "":
-	default:
-		return q, errors.Newf("reading the parameter protocol: want udp or tcp, not %q", protocol)
-	}
-	return q, nil
-}
-
-func (s *Server) serveExplain(w http.ResponseWriter, r *http.Request) {
-	q, err := flowQueryOf(r)
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	w.Header().Set("Content-Type", "application/json")
-	// A caller that went away needs no answer.
-	_ = json.NewEncoder(w).Encode(s.explain(time.Now(), q))
-}
-
 // explain changes nothing.
-func (s *Server) explain(now time.Time, q flowQuery) Explanation {
+func (s *Server) explain(now time.Time, f explainer.Flow) explainer.Explanation {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	// As before each batch of packets: without any, nobody has looked.
 	s.coordinator.Refresh(now)
-	id := s.coordinator.Service(q.service)
-	query := tracker.Query{Service: id, Flow: parser.FlowOf(q.source, q.service, q.tcp)}
+	id := s.coordinator.Service(f.Service)
+	query := tracker.Query{Service: id, Flow: parser.FlowOf(f.Source, f.Service, f.TCP)}
 	established := s.coordinator.Tracker().Explain(now, query)
 	query.Mark = parser.MarkOpening
 	opening := s.coordinator.Tracker().Explain(now, query)
-	e := Explanation{
+	e := explainer.Explanation{
 		Balancer:    s.settings.Name,
 		Bucket:      established.Bucket(),
 		Tracked:     established.Tracked(),
@@ -116,9 +43,9 @@
 	return e
 }
 
-func (s *Server) outcome(e tracker.Explanation) Outcome {
+func (s *Server) outcome(e tracker.Explanation) explainer.Outcome {
 	d := e.Decision()
-	o := Outcome{Why: s.why(e)}
+	o := explainer.Outcome{Why: s.why(e)}
 	switch d.Action() {
 	case tracker.Forward:
 		o.Action = "forward"
--- a/test/faults/deployment_test.go
+++ b/test/faults/deployment_test.go
@@ -15,7 +15,7 @@
 	"testing"
 	"time"
 
-	"trefoilspring.example/trefoilspring/server"
+	"trefoilspring.example/trefoilspring/explainer"
 	"trefoilspring.example/trefoilspring/standin/sprayer"
 )
 
@@ -258,11 +258,11 @@
 }
 
 // status asks a balancer for its status.
-func (d *deployment) status(balancer string) (server.Status, error) {
-	var status server.Status
+func (d *deployment) status(balancer string) (explainer.Status, error) {
+	var status explainer.Status
 	for i, name := range d.layoutOrder() {
 		if name == balancer {
-			return status, d.get(d.base+100+4*i+2, "/status", &status)
+			return status, d.get(d.base+100+4*i+2, explainer.StatusPath, &status)
 		}
 	}
 	return status, fmt.Errorf("no balancer %s", balancer)
