--- a/cmd_check_settings.go
+++ b/cmd_check_settings.go
@@ -6,7 +6,9 @@
 
 	"github.com/urfave/cli/v3"
 
+	"trefoilspring.example/trefoilspring/follower"
 	"trefoilspring.example/trefoilspring/peer"
+	"trefoilspring.example/trefoilspring/platform"
 	"trefoilspring.example/trefoilspring/server"
 )
 
@@ -14,13 +16,21 @@
 	return &cli.Command{
 		Name:  "check-settings",
 		Usage: "check a balancer's settings file and certificate, without binding anything",
-		Description: `Example:
+		Description: `With --for balance, the file is the one that the users' platform writes.
+
+Example:
    trefoilspring check-settings --settings balancer.json && systemctl restart trefoilspring
 
 ` + serveExitHelp,
-		Flags:        []cli.Flag{settingsFlag(), outputFlag()},
+		Flags: []cli.Flag{settingsFlag(), outputFlag(), &cli.StringFlag{
+			Name: "for", Usage: "the `COMMAND` that reads the file, serve or balance", Value: "serve",
+			Validator: oneOf("serve", "balance"),
+		}},
 		OnUsageError: usageError,
 		Action: func(_ context.Context, c *cli.Command) error {
+			if c.String("for") == "balance" {
+				return withExitCode(checkPlatformSettings(c))
+			}
 			return withExitCode(checkSettings(c))
 		},
 	}
@@ -52,3 +62,35 @@
 		Peers:            len(settings.Peers),
 	})
 }
+
+// checkedPlatformSettings is the outcome of check-settings for a balancer on the
+// users' platform.
+type checkedPlatformSettings struct {
+	Name             string `json:"name"`
+	AvailabilityZone string `json:"availability-zone"`
+	DataAddress      string `json:"data-address"`
+	StoreAddress     string `json:"store-address"`
+	// Strength says how fit the VM is to read the store for others, from 0 to 2.
+	Strength int `json:"strength"`
+}
+
+// String says the outcome in words.
+func (r checkedPlatformSettings) String() string {
+	return fmt.Sprintf("good: balancer %s in availability zone %s, packets at %s, store at %s, strength as a reader: %d\n",
+		r.Name, r.AvailabilityZone, r.DataAddress, r.StoreAddress, r.Strength)
+}
+
+func checkPlatformSettings(c *cli.Command) error {
+	settings, err := platform.LoadSettings(c.String(settingsName))
+	if err != nil {
+		return err
+	}
+	b := settings.Balancer()
+	return output(c, checkedPlatformSettings{
+		Name:             b.Name,
+		AvailabilityZone: b.AvailabilityZone,
+		DataAddress:      b.DataAddress.String(),
+		StoreAddress:     settings.StoreAddress(),
+		Strength:         follower.StrengthOf(b.LinkMbps, b.Cores),
+	})
+}
