--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -20,14 +20,7 @@
 
 func TestPacketsReachTheirTargetUnchanged(t *testing.T) {
 	is := is.New(t)
-	s := &store{}
-	s.set("op/config", configurationText)
-	target := newServer(t)
-	s.set("servers/i-00ab", registration(target.address))
-	n := newNode(t, "n1", s)
-	n.start(t)
-	eventually(t, "ready", func() bool { status, _ := get(n.settings.ReadyAddress, "/v1/readiness"); return status == 200 })
-	caller := newCaller(t, n)
+	n, target, caller := newServing(t)
 
 	sent := packet(1000, flagSyn, 0, 7, 0, "")
 	_, err := caller.WriteToUDPAddrPort(sent, n.settings.DataAddress)
@@ -54,7 +47,7 @@
 	s.set("op/config", configurationText)
 	n := newNode(t, "n1", s)
 	n.start(t)
-	eventually(t, "ready", func() bool { status, _ := get(n.settings.ReadyAddress, "/v1/readiness"); return status == 200 })
+	n.awaitReadiness(t, 200)
 	caller := newCaller(t, n)
 	opening := packet(1000, flagSyn, 0, 7, 0, "")
 	opening[20]++ // the next port
@@ -83,7 +76,7 @@
 	n := newNode(t, "n1", s)
 	n.start(t)
 	caller := newCaller(t, n)
-	eventually(t, "not ready", func() bool { status, _ := get(n.settings.ReadyAddress, "/"); return status == 503 })
+	n.awaitReadiness(t, 503)
 	_, err := caller.WriteToUDPAddrPort(packet(1000, flagSyn, 0, 7, 0, ""), n.settings.DataAddress)
 	is.NoErr(err)
 	s.setDown(false)
@@ -121,30 +114,23 @@
 	s.set("op/config", configurationText)
 	n := newNode(t, "n1", s)
 	n.start(t)
-	eventually(t, "ready", func() bool { status, _ := get(n.settings.ReadyAddress, "/"); return status == 200 })
+	n.awaitReadiness(t, 200)
 	s.setDown(true)
 	eventually(t, "out of date", func() bool {
 		status, text := get(n.settings.ReadyAddress, "/")
 		return status == 503 && strings.Contains(text, "out of date")
 	})
 	s.setDown(false)
-	eventually(t, "ready again", func() bool { status, _ := get(n.settings.ReadyAddress, "/"); return status == 200 })
+	n.awaitReadiness(t, 200)
 }
 
 // On a stop the balancer says so at once and forwards until the routers are gone.
 func TestStopGoesOnForwarding(t *testing.T) {
 	is := is.New(t)
-	s := &store{}
-	s.set("op/config", configurationText)
-	target := newServer(t)
-	s.set("servers/i-00ab", registration(target.address))
-	n := newNode(t, "n1", s)
-	n.start(t)
-	eventually(t, "ready", func() bool { status, _ := get(n.settings.ReadyAddress, "/"); return status == 200 })
-	caller := newCaller(t, n)
+	n, target, caller := newServing(t)
 	before := time.Now()
 	n.stop()
-	eventually(t, "stopping", func() bool { status, _ := get(n.settings.ReadyAddress, "/"); return status == 503 })
+	n.awaitReadiness(t, 503)
 	for port := range uint16(10) {
 		_, err := caller.WriteToUDPAddrPort(packet(2000+port, flagSyn, 0, 7, 0, ""), n.settings.DataAddress)
 		is.NoErr(err)
@@ -208,7 +194,7 @@
 		}
 	}
 	n.start(t)
-	eventually(t, "ready", func() bool { status, _ := get(n.settings.ReadyAddress, "/"); return status == 200 })
+	n.awaitReadiness(t, 200)
 	hangup <- syscall.SIGHUP
 	eventually(t, "refusal", func() bool { return n.log.has("settings refused; the last good ones stay") })
 	changed := n.settings
--- a/balancer/fixture_test.go
+++ b/balancer/fixture_test.go
@@ -159,6 +159,28 @@
 	})
 }
 
+// awaitReadiness waits until the balancer answers the routers with a status.
+func (n *node) awaitReadiness(t *testing.T, status int) {
+	t.Helper()
+	eventually(t, fmt.Sprint("readiness ", status), func() bool {
+		got, _ := get(n.settings.ReadyAddress, "/v1/readiness")
+		return got == status
+	})
+}
+
+// newServing returns a ready balancer, its one target i-00ab and its callers.
+func newServing(t *testing.T) (*node, *server, *net.UDPConn) {
+	t.Helper()
+	s := &store{}
+	s.set("op/config", configurationText)
+	target := newServer(t)
+	s.set("servers/i-00ab", registration(target.address))
+	n := newNode(t, "n1", s)
+	n.start(t)
+	n.awaitReadiness(t, http.StatusOK)
+	return n, target, newCaller(t, n)
+}
+
 // get returns the status and body of an HTTP answer; 0 if there is none.
 func get(address netip.AddrPort, path string) (int, string) {
 	res, err := http.Get("http://" + address.String() + path)
