Check a lost zone again by a few of its targets

Cause: while a zone stays lost, each of its targets that was found unreachable was checked again each 2 s, by every balancer: up to 32 of hundreds. Three speak for the others now; once one is reached, the others are checked at once.

--- a/director/checks.go
+++ b/director/checks.go
@@ -26,14 +26,15 @@
 	return checks
 }
 
-// doubt has a target checked if that is due.
-func (d *Director) doubt(now time.Time, m *member) {
+// doubt has a target checked if that is due, and reports whether it is.
+func (d *Director) doubt(now time.Time, m *member) bool {
 	if !m.evidence.mayCheck(now) {
-		return
+		return false
 	}
 	m.evidence.checking = true
 	d.checking++
 	d.checks = append(d.checks, Check{Name: m.Name, Started: m.Started, Target: m.Target})
+	return true
 }
 
 // Verdict is the outcome of a check.
@@ -69,7 +70,7 @@
 	switch v {
 	case Reachable:
 		e.unreachable = false
-		m.zone.reached()
+		d.reached(now, m.zone)
 	case Inconclusive:
 	case Unreachable:
 		found := !e.unreachable
@@ -116,11 +117,16 @@
 	return m.evidence.unreachable && !m.Draining && route.Repeatable
 }
 
-// recheck has targets checked again that were found unreachable.
+// recheck has targets checked again that were found unreachable: a few of a suspect
+// zone, which speak for the others.
 func (d *Director) recheck(now time.Time) {
+	checked := make(map[*zoneEvidence]int)
 	for _, m := range d.byName {
-		if m.evidence.unreachable {
-			d.doubt(now, m)
+		if !m.evidence.unreachable || m.zone.suspect(now) && checked[m.zone] >= zoneMisses {
+			continue
+		}
+		if d.doubt(now, m) {
+			checked[m.zone]++
 		}
 	}
 }
--- a/director/zones.go
+++ b/director/zones.go
@@ -50,9 +50,6 @@
 	}
 }
 
-// reached notes a target of the zone that was reached.
-func (z *zoneEvidence) reached() { *z = zoneEvidence{} }
-
 func (z *zoneEvidence) suspect(now time.Time) bool { return now.Before(z.suspectUntil) }
 
 // zoneEvidenceOf returns the evidence of an availability zone.
@@ -87,6 +84,22 @@
 	}
 }
 
+// reached notes a target of a zone that was reached. If the zone was suspect, the
+// targets that were found unreachable meanwhile are checked, since most of them were
+// left alone.
+func (d *Director) reached(now time.Time, z *zoneEvidence) {
+	wasSuspect := z.suspect(now)
+	*z = zoneEvidence{}
+	if !wasSuspect {
+		return
+	}
+	for _, m := range d.byName {
+		if m.zone == z && m.evidence.unreachable {
+			d.doubt(now, m)
+		}
+	}
+}
+
 // neighbours returns the targets of a zone that aren't known to be unreachable, in
 // an order that differs between balancers, so that they don't all check the same.
 func (d *Director) neighbours(m *member) []*member {
--- a/director/zones_test.go
+++ b/director/zones_test.go
@@ -91,6 +91,30 @@
 	}
 }
 
+// While the zone stays lost, three of its targets at a time are checked again, each
+// 2 s at most.
+func TestLostZoneIsCheckedAgainByAFew(t *testing.T) {
+	is := is.New(t)
+	d := newDirector(fleetTargets)
+	loseZone(d, start, "b")
+	checks := 0
+	const seconds = 12
+	for n := range seconds {
+		now := start.Add(time.Duration(7+n) * time.Second)
+		d.Tick(now)
+		for _, c := range d.Checks() {
+			checks++
+			d.Checked(now, c, director.Unreachable)
+		}
+	}
+	is.True(checks > 0)
+	is.True(checks <= 3*seconds)
+	for n := range 50 {
+		now := start.Add((7 + seconds) * time.Second)
+		is.True(d.Decide(now, opening(5000+n, 0)).Target.AvailabilityZone != "b") // it is still known
+	}
+}
+
 // The zone comes back: one target that is reached speaks for the others.
 func TestLostZoneComesBackByOneCheck(t *testing.T) {
 	is := is.New(t)
