--- /dev/null
+++ b/standin/disturber/disturber_test.go
@@ -0,0 +1,98 @@
+package disturber_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
+
+	"trefoilspring.example/trefoilspring/standin/disturber"
+)
+
+// echo serves an echo until the test ends.
+func echo(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var group errgroup.Group
+	group.Go(func() error {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return nil //nolint:nilerr // the listener was closed
+			}
+			group.Go(func() error {
+				_, _ = io.Copy(conn, conn)
+				return conn.Close()
+			})
+		}
+	})
+	t.Cleanup(func() {
+		l.Close()
+		_ = group.Wait()
+	})
+	return l.Addr().String()
+}
+
+func TestLinkTreatsConnectionsByItsState(t *testing.T) {
+	is := is.New(t)
+	const address = "127.0.0.1:28431"
+	target := echo(t)
+	link, err := disturber.NewLink(address, target)
+	is.NoErr(err)
+	ctx, stop := context.WithCancel(context.Background())
+	var group errgroup.Group
+	group.Go(func() error { return link.Run(ctx) })
+	t.Cleanup(func() {
+		stop()
+		_ = group.Wait()
+	})
+	conn, err := net.Dial("tcp", address)
+	is.NoErr(err)
+	defer conn.Close()
+	answered := func() bool {
+		_ = conn.SetDeadline(time.Now().Add(300 * time.Millisecond))
+		_, _ = conn.Write([]byte("x"))
+		n, _ := conn.Read(make([]byte, 1))
+		return n == 1
+	}
+	is.True(answered())
+	link.Set(disturber.OneWay)
+	is.True(!answered())
+	link.Set(disturber.Open)
+	is.True(answered())
+	link.Mute()
+	is.True(!answered())
+	link.Set(disturber.Cut)
+	_ = conn.SetDeadline(time.Now().Add(5 * time.Second))
+	_, err = io.ReadAll(conn)
+	var fault net.Error
+	is.True(!errors.As(err, &fault) || !fault.Timeout()) // the connection has ended
+}
+
+func TestDatagrams(t *testing.T) {
+	is := is.New(t)
+	var d disturber.Datagrams
+	sent := 0
+	send := func() { sent++ }
+	d.Carry(send)
+	is.Equal(sent, 1)
+	d.Set(1, 0)
+	d.Carry(send)
+	is.Equal(sent, 1)
+	d.Set(0, 0)
+	a, b := netip.MustParseAddr("127.0.0.1"), netip.MustParseAddr("127.0.0.2")
+	is.True(!d.IsCut(a, b))
+	d.SetCut(a, b, true)
+	is.True(d.IsCut(a, b))
+	d.SetCut(a, b, false)
+	is.True(!d.IsCut(a, b))
+}
