--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BIN := bin
 LINTER := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 
-.PHONY: build test lint format demo bench soak clean
+.PHONY: build test lint format demo bench soak soak-seeds clean
 
 # The first seed of a soak, how many follow each other, and how long each injects
 # faults.
@@ -35,5 +35,12 @@
 soak: build
 	$(BIN)/standin soak --seed $(SEED) --seeds $(SEEDS) --length $(SECONDS_EACH)s
 
+# Plays the seeds again that ever reported a break.
+soak-seeds: build
+	grep -v '^#' test/soak/seeds | while read -r seed seconds cause; do \
+	  echo "seed $$seed: $$cause" && \
+	  $(BIN)/standin soak --binary $(BIN)/trefoilspring --seed "$$seed" --length "$${seconds}s" </dev/null || exit 1; \
+	done
+
 clean:
 	rm -rf $(BIN) out
