--- a/balancer/fixture_test.go
+++ b/balancer/fixture_test.go
@@ -10,8 +10,10 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -120,26 +122,41 @@
 	group    errgroup.Group
 }
 
-// freePort returns a port of an address that is free for TCP and UDP now.
-func freePort(t *testing.T, ip string) netip.AddrPort {
+// Ports of a test process. They lie below those that the kernel gives to connections
+// (32768 and up), each process has a range of its own, and none is used twice: a port
+// that was free a moment before may be taken by any connection of the machine.
+const (
+	firstPort       = 10000
+	portsOfProcess  = 200
+	processesAtOnce = 80
+)
+
+var portsUsed atomic.Int32
+
+// newAddress returns an address that nothing else uses.
+func newAddress(t *testing.T, ip string) netip.AddrPort {
 	t.Helper()
-	l, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		t.Fatal(err)
+	n := portsUsed.Add(1)
+	if n > portsOfProcess {
+		t.Fatal("out of ports")
 	}
-	defer l.Close()
-	return netip.MustParseAddrPort(l.Addr().String())
+	port := firstPort + os.Getpid()%processesAtOnce*portsOfProcess + int(n) - 1
+	return netip.AddrPortFrom(netip.MustParseAddr(ip), uint16(port))
 }
 
+// nodeAddress is where the balancers of this package's tests run; other tests use
+// 127.0.0.1.
+const nodeAddress = "127.0.0.4"
+
 func newNode(t *testing.T, name string, s *store) *node {
 	t.Helper()
 	n := &node{settings: balancer.Settings{
 		Name:             name,
 		AvailabilityZone: "a",
-		DataAddress:      freePort(t, "127.0.0.1"),
-		ReadyAddress:     freePort(t, "127.0.0.1"),
-		PeerAddress:      freePort(t, "127.0.0.1"),
-		MetricsAddress:   freePort(t, "127.0.0.1"),
+		DataAddress:      newAddress(t, nodeAddress),
+		ReadyAddress:     newAddress(t, nodeAddress),
+		PeerAddress:      newAddress(t, nodeAddress),
+		MetricsAddress:   newAddress(t, nodeAddress),
 	}}
 	log := slog.New(slog.NewJSONHandler(&n.log, nil))
 	n.balancer = balancer.New(n.settings, platform.Fabric(), s.directory(), log)
@@ -213,7 +230,7 @@
 
 func newServer(t *testing.T) *server {
 	t.Helper()
-	address := freePort(t, "127.0.0.2")
+	address := newAddress(t, "127.0.0.2")
 	l, err := net.Listen("tcp", address.String())
 	if err != nil {
 		t.Fatal(err)
--- a/test/main_test.go
+++ b/test/main_test.go
@@ -11,7 +11,9 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -79,13 +81,23 @@
 	return os.WriteFile(path, []byte(settings), 0o600)
 }
 
+// Ports of a test process, below those that the kernel gives to connections (32768
+// and up), at an address that nothing else uses.
+const (
+	firstScriptPort = 10000
+	portsOfProcess  = 200
+	processesAtOnce = 80
+	scriptAddress   = "127.0.0.5"
+)
+
+var portsUsed atomic.Int32
+
 func freeAddress() string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
+	n := int(portsUsed.Add(1))
+	if n > portsOfProcess {
+		panic("out of ports")
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	return net.JoinHostPort(scriptAddress, strconv.Itoa(firstScriptPort+os.Getpid()%processesAtOnce*portsOfProcess+n-1))
 }
 
 // ready waits until the platform stand-in serves.
