Print the bucket again where a balancer has buckets

Cause: 'explain' left the bucket out for each flow without a target, to hide it for balancers that have none; testdata/script/balancer.txtar wants it for 'serve' on an unknown address too. The answer says now whether there are buckets. Ruled out: the test; its output is the page's. Before: TestScripts/balancer failed. After: go test ./test -run 'Script|Manual|Page|Racing', ./explainer and ./balancer's TestBalancerExplainsItself pass. Conclusion: what 'serve' prints is as it was.

--- a/balancer/explain.go
+++ b/balancer/explain.go
@@ -75,6 +75,7 @@
 		Balancer:    b.settings.Name,
 		Revision:    version,
 		Service:     e.Service,
+		NoBuckets:   true,
 		Recorded:    e.Watched,
 		Opening:     outcome(e.Opening),
 		Established: outcome(e.Established),
--- a/cmd_explain.go
+++ b/cmd_explain.go
@@ -53,8 +53,7 @@
 		service = "none"
 	}
 	fmt.Fprintf(&b, "balancer     %s, revision %d\n", e.Balancer, e.Revision)
-	if e.Current == "" {
-		// The balancer keeps no buckets, or has no target for this one.
+	if e.NoBuckets {
 		fmt.Fprintf(&b, "service      %s\n", service)
 	} else {
 		fmt.Fprintf(&b, "service      %s, bucket %d\n", service, e.Bucket)
--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -87,7 +87,10 @@
 	// Service is empty where no service has the address.
 	Service string `json:"service"`
 	Bucket  int    `json:"bucket"`
-	Tracked bool   `json:"tracked"`
+	// NoBuckets says that the balancer keeps no buckets, so that Bucket and what
+	// follows from it mean nothing.
+	NoBuckets bool `json:"no-buckets,omitempty"`
+	Tracked   bool `json:"tracked"`
 	// Recorded says that this balancer holds a record of the flow.
 	Recorded bool `json:"recorded"`
 	// Base and Current are targets; a bucket that isn't tracked has Current only.
