Keep new flows in their callers' zone while it has room

Cause: rendezvous hashing over all zones sends two flows of three to another zone, so a cut between zones broke two thirds of the cut zone's flows and a third of the others, and their packets were priced.

Change: an opening takes the ranking of the own zone as long as its targets have room. Demand is the rate of requests that pass a balancer times the time that targets take times the zone's balancers; what would fill more than half of the zone's slots goes to any zone, and so does everything until that has been measured.

Ruled out: staying at home without a measure (a zone whose callers ask for more than its targets bear would be lost); counting requests that wait (callers don't acknowledge an answer of one packet, so idle flows would count).

--- a/balancer/view.go
+++ b/balancer/view.go
@@ -199,7 +199,13 @@
 			log.Info("balancer registered", "peer", name, "zone", p.AvailabilityZone)
 		}
 	}
-	b.director.SetHolders(len(b.view.peers))
+	zone := 0
+	for _, p := range b.view.peers {
+		if p.AvailabilityZone == b.settings.AvailabilityZone {
+			zone++
+		}
+	}
+	b.director.SetHolders(len(b.view.peers), zone)
 }
 
 // since answers a peer: what it lacks, once there is something or wait is over.
--- a/director/chooser.go
+++ b/director/chooser.go
@@ -13,15 +13,16 @@
 // that reaches another balancer goes to the same target. It returns nil if no
 // target may take the flow.
 //
-// A copy of an opening goes to the own availability zone, which no cut between
-// zones takes away, if it has a target that nothing speaks against.
+// An opening goes to the own availability zone, which no cut between zones takes
+// away, as far as the zone has room. A copy of one goes there in any case, if there
+// is a target that nothing speaks against.
 func (d *Director) choose(now time.Time, key uint64, route Route, avoid *member) *member {
 	p := d.pools[pickService(key, route.Backends)]
 	if p == nil {
 		return nil
 	}
-	if avoid != nil {
-		if m := d.nearby(now, key, p, avoid); m != nil {
+	if avoid != nil || d.staysHome(now, key, p) {
+		if m := d.atHome(now, key, p, avoid); m != nil {
 			return m
 		}
 	}
@@ -39,21 +40,6 @@
 	return nil
 }
 
-// nearby returns the ranking's first of the own zone for a copy of an opening.
-func (d *Director) nearby(now time.Time, key uint64, p *pool, avoid *member) *member {
-	var best *member
-	var bestScore float64
-	for _, m := range p.members {
-		if m == avoid || m.AvailabilityZone != d.zone || !d.usable(m) || m.suspect(now) || now.Before(m.coldUntil) {
-			continue
-		}
-		if s := score(key, m); s > bestScore {
-			best, bestScore = m, s
-		}
-	}
-	return best
-}
-
 // maxColdTries bounds how many cold targets an opening is offered to in turn.
 const maxColdTries = 8
 
--- a/director/director.go
+++ b/director/director.go
@@ -109,6 +109,8 @@
 	out     map[string]bool
 	zones   map[string]*zoneEvidence
 	holders int
+	// zoneHolders is how many balancers are in the own zone.
+	zoneHolders int
 	// outage is until when the removal of an entry proves nothing.
 	outage   time.Time
 	services map[string]Service
@@ -122,18 +124,19 @@
 // configuration. The seed tells balancers apart where they should not act in step.
 func New(seed uint64, zone string) *Director {
 	return &Director{
-		seed:     seed,
-		zone:     zone,
-		routes:   make(map[netip.AddrPort]Route),
-		pools:    make(map[string]*pool),
-		byName:   make(map[string]*member),
-		tokens:   tokenizer.New[*member](),
-		gone:     newGraveyard(),
-		out:      make(map[string]bool),
-		zones:    make(map[string]*zoneEvidence),
-		services: make(map[string]Service),
-		flows:    newFlows(),
-		holders:  1,
+		seed:        seed,
+		zone:        zone,
+		routes:      make(map[netip.AddrPort]Route),
+		pools:       make(map[string]*pool),
+		byName:      make(map[string]*member),
+		tokens:      tokenizer.New[*member](),
+		gone:        newGraveyard(),
+		out:         make(map[string]bool),
+		zones:       make(map[string]*zoneEvidence),
+		services:    make(map[string]Service),
+		flows:       newFlows(),
+		holders:     1,
+		zoneHolders: 1,
 	}
 }
 
@@ -202,17 +205,17 @@
 
 // observe takes what a packet shows of its target as evidence.
 func (d *Director) observe(now time.Time, p *Packet, f *flow, m *member) {
-	switch f.observe(now, p) {
-	case progress:
+	seen := f.observe(now, p)
+	d.pools[m.Service].demand.observe(now, seen)
+	switch {
+	case seen.progress:
 		m.evidence.answered(now)
-	case repetition:
+	case seen.repetition:
 		if !m.evidence.answeredSince(now.Add(-silence)) {
 			d.doubt(now, m)
 		}
-	case nothing:
-		if len(p.Data) > 0 && m.zone.suspect(now) {
-			d.doubt(now, m)
-		}
+	case len(p.Data) > 0 && m.zone.suspect(now):
+		d.doubt(now, m)
 	}
 }
 
@@ -271,6 +274,9 @@
 // be called about once a second.
 func (d *Director) Tick(now time.Time) {
 	d.flows.expire(now)
+	for _, p := range d.pools {
+		p.demand.roll(now)
+	}
 	d.recheck(now)
 	d.dropLapsed(now)
 	d.gone.expire(now)
--- a/director/explain.go
+++ b/director/explain.go
@@ -65,7 +65,14 @@
 	if p == nil {
 		return Decision{Action: Reset, Reason: ReasonNoTarget}
 	}
-	if m := d.best(now, key, p, nil, nil); m != nil {
+	var m *member
+	if d.staysHome(now, key, p) {
+		m = d.atHome(now, key, p, nil)
+	}
+	if m == nil {
+		m = d.best(now, key, p, nil, nil)
+	}
+	if m != nil {
 		return forwardOpening(m, ReasonOpening)
 	}
 	return Decision{Action: Reset, Reason: ReasonNoTarget}
--- a/director/flows.go
+++ b/director/flows.go
@@ -37,23 +37,28 @@
 	acknowledged uint32
 }
 
-// observation says what a packet shows of its flow's target.
-type observation uint8
-
-const (
-	nothing observation = iota
+// observation is what a packet shows of its flow and the flow's target.
+type observation struct {
 	// progress means that the target has answered.
-	progress
+	progress bool
 	// repetition means that the caller sends data again which nothing answered.
-	repetition
-)
+	repetition bool
+	// began means that a request begins.
+	began bool
+	// took is how long the target took for a request, or 0 where the packet doesn't
+	// show it: an answer may be acknowledged only by the next request.
+	took time.Duration
+}
 
 // observe notes a packet after the opening.
 func (f *flow) observe(now time.Time, p *Packet) observation {
 	f.seen = now
-	seen := nothing
+	var seen observation
 	if f.acknowledged == 0 || int32(p.Acknowledged-f.acknowledged) > 0 {
-		seen = progress
+		seen.progress = true
+		if len(p.Data) == 0 && !f.waitingSince.IsZero() {
+			seen.took = now.Sub(f.waitingSince)
+		}
 		f.acknowledged = p.Acknowledged
 		f.waitingSince = time.Time{}
 	}
@@ -66,10 +71,9 @@
 	}
 	if f.waitingSince.IsZero() {
 		f.waitingSince = now
+		seen.began = true
 	}
-	if again && seen == nothing {
-		return repetition
-	}
+	seen.repetition = again && !seen.progress
 	return seen
 }
 
--- a/director/gone_test.go
+++ b/director/gone_test.go
@@ -193,7 +193,7 @@
 	for i := range fleet {
 		fleet[i] = director.New(uint64(i)*7919+1, "a")
 		fleet[i].SetConfiguration(configuration(1))
-		fleet[i].SetHolders(balancers)
+		fleet[i].SetHolders(balancers, balancers)
 		for id := 1; id <= 3; id++ {
 			fleet[i].SetTarget(start, target(id))
 		}
--- a/director/view.go
+++ b/director/view.go
@@ -70,6 +70,7 @@
 // pool holds the targets of one service.
 type pool struct {
 	members []*member
+	demand  demand
 }
 
 func (p *pool) remove(m *member) {
@@ -182,8 +183,12 @@
 	delete(d.out, zone)
 }
 
-// SetHolders sets among how many balancers the rate of a cold target is divided.
-func (d *Director) SetHolders(n int) { d.holders = max(n, 1) }
+// SetHolders sets how many balancers there are, among which the rate of a cold target
+// is divided, and how many of them are in the own availability zone.
+func (d *Director) SetHolders(all, zone int) {
+	d.holders = max(all, 1)
+	d.zoneHolders = max(zone, 1)
+}
 
 // SetOutage says that registrations may have lapsed while the store was away, and
 // until when their targets may come back. Targets that are missing are kept until
