Keep first flows in a zone that has its share of the targets

Cause: until a balancer had measured what its zone's callers ask for, flows went to all zones.

Change: before the demand is known, flows stay in a zone that has at least half of an even share of the service's slots.

--- a/director/locality.go
+++ b/director/locality.go
@@ -13,6 +13,10 @@
 	// demandWeight is the weight of the newest sample beside all earlier ones: with
 	// a half, a burst is believed after two windows.
 	demandWeight = 0.5
+	// trustedShare is the part of an even share of all slots that the own zone must
+	// have for its flows to stay before the demand has been measured. Callers open most
+	// of their long flows in the first second, and those stay where they are.
+	trustedShare = 0.5
 	// homeSalt keeps the decision to stay in the zone apart from the ranking.
 	homeSalt = 0x686f6d65
 )
@@ -71,20 +75,35 @@
 // are lost, and callers of one zone who ask for more than its targets bear.
 //
 // The routers spread a zone's packets evenly over its balancers, so what passes here
-// is a known part of what the zone's callers ask for. Until that has been measured,
-// flows go to all zones, since long ones would stay where they are.
+// is a known part of what the zone's callers ask for.
 func (d *Director) staysHome(now time.Time, key uint64, p *pool) bool {
+	home, all, zones := d.slots(now, p)
 	if !p.demand.known {
-		return false
+		return home*zones >= trustedShare*all
 	}
-	slots := 0
+	asked := p.demand.concurrent * float64(d.zoneHolders)
+	return unit(hash2(key, homeSalt))*asked < homeUse*home
+}
+
+// slots returns how many requests the targets in the own zone can work on at a time,
+// how many all targets can, and in how many zones they are.
+func (d *Director) slots(now time.Time, p *pool) (home, all, zones float64) {
+	seen := make(map[*zoneEvidence]bool, len(d.zones))
 	for _, m := range p.members {
+		if !d.usable(m) {
+			continue
+		}
+		slots := float64(max(m.Capacity, 1))
+		all += slots
 		if d.isHome(now, m) {
-			slots += max(m.Capacity, 1)
+			home += slots
+		}
+		if !seen[m.zone] {
+			seen[m.zone] = true
+			zones++
 		}
 	}
-	asked := p.demand.concurrent * float64(d.zoneHolders)
-	return unit(hash2(key, homeSalt))*asked < homeUse*float64(slots)
+	return home, all, zones
 }
 
 // isHome reports whether a target is in the own zone and ready for its flows.
