Keep the balancers of an isolated zone ready

Its balancers found their view out of date 3 s after their last word from the store and called themselves not ready, so the routers sent the zone's callers to balancers of other zones, which can't reach the zone's targets.

Change: a balancer whose view is old stays ready, up to 12 s, if two others of its zone answer and know nothing newer, or one does and the store fails for itself too. One that is cut off alone isn't ready, as before. A balancer without the store asks the peer first that last knew something new, then those that read for its zone.

Ruled out: staying ready without asking the zone (one that is cut off alone would be kept in rotation); no limit (a store may turn a whole zone away, and a configuration must be in force after 15 s then).

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -107,7 +107,8 @@
 	// viewed is closed once there is a view to decide by.
 	viewed chan struct{}
 
-	answers answers
+	answers  answers
+	follower *follower.Follower
 
 	mu       sync.Mutex
 	director *director.Director
@@ -128,6 +129,7 @@
 	b.seeds.Store(&settings.Seeds)
 	b.view.init()
 	b.metrics = newMeters(b)
+	b.follower = b.newFollower()
 	return b
 }
 
@@ -150,7 +152,7 @@
 	group.Go(func() error { return b.serveReadiness(work) })
 	group.Go(func() error { return b.servePeers(work) })
 	group.Go(func() error { return b.serveMetrics(work) })
-	group.Go(func() error { return b.newFollower().Run(work) })
+	group.Go(func() error { return b.follower.Run(work) })
 	group.Go(func() error { return registrar.run(work) })
 	group.Go(func() error { return b.tick(work) })
 	group.Go(func() error { return b.watchSettings(work) })
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -124,6 +124,37 @@
 	n.awaitReadiness(t, 200)
 }
 
+// Load pattern: a zone is cut off from the store. Its balancers find that none of them
+// knows anything newer, and go on serving the zone: those of other zones may not reach
+// its targets.
+func TestBalancersOfAnIsolatedZoneStayReady(t *testing.T) {
+	is := is.New(t)
+	s := &store{}
+	s.set("op/config", configurationText)
+	first, second := newNode(t, "n1", s), newNode(t, "n2", s)
+	first.start(t)
+	second.start(t)
+	for _, n := range []*node{first, second} {
+		eventually(t, "peers", func() bool {
+			_, text := get(n.settings.MetricsAddress, "/metrics")
+			return strings.Contains(text, "trefoilspring_peers 2")
+		})
+	}
+	s.setDown(true)
+	time.Sleep(6 * time.Second)
+	for _, n := range []*node{first, second} {
+		status, _ := get(n.settings.ReadyAddress, "/")
+		is.Equal(status, 200)
+	}
+	// One that is left alone knows too little.
+	second.stop()
+	is.NoErr(second.group.Wait())
+	eventually(t, "out of date", func() bool {
+		status, _ := get(first.settings.ReadyAddress, "/")
+		return status == 503
+	})
+}
+
 // On a stop the balancer says so at once and forwards until the routers are gone.
 func TestStopGoesOnForwarding(t *testing.T) {
 	is := is.New(t)
--- a/balancer/lifecycle.go
+++ b/balancer/lifecycle.go
@@ -13,6 +13,10 @@
 	// an older view may miss one. If no balancer of a zone is ready, the routers
 	// use all of them, so an outage of the store turns nobody away.
 	readyAge = 3 * time.Second
+	// isolatedAge is the same where all balancers of the zone are without the store:
+	// they reach targets that those of other zones may not. At the strictest, a
+	// configuration may take 15 s while the store turns balancers away.
+	isolatedAge = 12 * time.Second
 	// turnAway is how long the routers take to stop sending: two missed checks at
 	// 0.5 s each, and one more for the time between them.
 	turnAway = 1500 * time.Millisecond
@@ -39,6 +43,10 @@
 	if b.stopping.Load() {
 		return "stopping"
 	}
+	oldest := readyAge
+	if b.follower.Isolated() {
+		oldest = isolatedAge
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	age, known := b.view.replica.Age(now)
@@ -46,7 +54,7 @@
 	switch {
 	case !known || !configured:
 		return "no view yet"
-	case age > readyAge:
+	case age > oldest:
 		return "view is out of date"
 	}
 	return ""
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -38,6 +38,12 @@
 	// failure in a row up to shunForMost.
 	shunFor     = 2 * time.Second
 	shunForMost = 16 * time.Second
+	// alikeFor is how long the answer of a balancer that knows nothing newer counts:
+	// it is asked again once it has been left alone for shunForMost.
+	alikeFor = 20 * time.Second
+	// isolationWitnesses is how many must find that nothing newer is to be had: as many
+	// as read the store for a zone.
+	isolationWitnesses = readersPerZone
 	// readerRetry is how long a reader waits after a failed call to the store. A
 	// balancer that reads only because the readers fail waits substituteRetry, so
 	// that an outage doesn't make a fleet of callers.
@@ -91,6 +97,9 @@
 type health struct {
 	failures  int
 	shunUntil time.Time
+	// alikeAt is when it last answered, a balancer of the own zone, with knowledge
+	// that is old too.
+	alikeAt time.Time
 }
 
 // Core is the decision.
@@ -101,12 +110,15 @@
 	// nearby are the balancers of the own zone, the own one included, in order.
 	nearby  []Peer
 	sources map[string]*health
-	turn    int
 	// starting says that no source has answered yet, and patientUntil is until when
 	// the first view is expected from a reader, which may be starting itself.
 	starting     bool
 	patientUntil time.Time
 	tries        int
+	// freshAt is when a source last had knowledge that isn't old, and informed the last
+	// peer that had.
+	freshAt  time.Time
+	informed Peer
 }
 
 // NewCore returns the Core of one balancer, which knows no peers.
@@ -134,6 +146,25 @@
 	}
 	slices.SortFunc(c.peers, byRank)
 	slices.SortFunc(c.nearby, byRank)
+	c.readersFirst()
+}
+
+// readersFirst puts the balancers that read for the own zone first, and has the others
+// follow from a place that differs between balancers, so that not all ask the same.
+func (c *Core) readersFirst() {
+	var readers, others []Peer
+	for _, p := range c.peers {
+		if slices.Contains(c.nearby[:min(len(c.nearby), readersPerZone)], p) {
+			readers = append(readers, p)
+		} else {
+			others = append(others, p)
+		}
+	}
+	if len(others) > 0 {
+		first := rank(c.self.Name) % uint64(len(others))
+		others = append(others[first:len(others):len(others)], others[:first]...)
+	}
+	c.peers = append(readers, others...)
 }
 
 func byRank(a, b Peer) int {
@@ -203,21 +234,22 @@
 	return readers
 }
 
-// anyPeer returns a peer to ask while the store doesn't answer: one of any zone,
-// in turn.
+// anyPeer returns a peer to ask while the store doesn't answer: the one that knew
+// something new, or the first that isn't left alone, of those that read for the own zone
+// and then of any.
 func (c *Core) anyPeer(now time.Time) (Peer, bool) {
 	candidates := c.peers
+	if i := slices.Index(candidates, c.informed); i >= 0 && !c.shunned(now, c.informed.Address) {
+		return candidates[i], true
+	}
 	if len(candidates) == 0 {
-		candidates = nil
 		for _, address := range c.seeds {
 			if address != c.self.Address {
 				candidates = append(candidates, Peer{Address: address})
 			}
 		}
 	}
-	for range candidates {
-		c.turn++
-		p := candidates[c.turn%len(candidates)]
+	for _, p := range candidates {
 		if !c.shunned(now, p.Address) {
 			return p, true
 		}
@@ -235,8 +267,15 @@
 	}
 	if !failed && age <= staleAge {
 		*h = health{}
+		c.freshAt = now
+		if !s.Store() {
+			c.informed = s.Peer
+		}
 		return
 	}
+	if !failed && s.Peer.AvailabilityZone == c.self.AvailabilityZone {
+		h.alikeAt = now
+	}
 	if !s.Store() && c.Patient(now) {
 		// It may be starting too.
 		c.tries++
@@ -250,6 +289,26 @@
 	h.shunUntil = now.Add(min(shunFor<<min(h.failures-1, 8), shunForMost))
 }
 
+// Isolated reports whether the own zone as a whole seems to be without the store: two
+// others of the zone answer and know nothing newer, or one does and the store fails for
+// this balancer too. Load pattern: a zone is cut off from the store and the other zones
+// while its callers and targets still reach each other.
+func (c *Core) Isolated(now time.Time) bool {
+	if now.Sub(c.freshAt) <= staleAge {
+		return false
+	}
+	witnesses := 0
+	for _, h := range c.sources {
+		if h.alikeAt.After(c.freshAt) && now.Sub(h.alikeAt) <= alikeFor {
+			witnesses++
+		}
+	}
+	if witnesses > 0 && c.healthOf("").failures > 0 {
+		witnesses++
+	}
+	return witnesses >= isolationWitnesses
+}
+
 // storeRetry is how long to leave the store alone after a failure.
 func (c *Core) storeRetry() time.Duration {
 	if slices.Index(c.nearby, c.self) < readersPerZone {
--- a/follower/loop.go
+++ b/follower/loop.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync/atomic"
 	"time"
 
 	"trefoilspring.example/trefoilspring/replicator"
@@ -49,10 +50,15 @@
 	Revision func() uint64
 	Log      *slog.Logger
 
-	core *Core
-	lost map[string]bool
+	core     *Core
+	lost     map[string]bool
+	isolated atomic.Bool
 }
 
+// Isolated reports whether the own zone as a whole seems to be without the store. It
+// may be called from any goroutine.
+func (f *Follower) Isolated() bool { return f.isolated.Load() }
+
 // New returns a Follower of one balancer.
 func New(self Peer) *Follower {
 	return &Follower{
@@ -98,7 +104,9 @@
 	if ctx.Err() != nil {
 		return 0
 	}
-	f.core.Done(time.Now(), source, update.Age, err != nil)
+	now := time.Now()
+	f.core.Done(now, source, update.Age, err != nil)
+	f.isolated.Store(f.core.Isolated(now))
 	f.report(source, err)
 	if err != nil && f.core.Patient(time.Now()) {
 		return firstPause
