Let an isolated zone stay ready only while it has targets

Change: a balancer with an old view stays ready only if its zone isn't taken out and has targets that take flows.

The first 3 s stay lost: until then nothing is known to be wrong.

--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -131,6 +131,7 @@
 	is := is.New(t)
 	s := &store{}
 	s.set("op/config", configurationText)
+	s.set("servers/i-00ab", strings.Replace(registration(newServer(t).address), `"zone":"b"`, `"zone":"a"`, 1))
 	first, second := newNode(t, "n1", s), newNode(t, "n2", s)
 	first.start(t)
 	second.start(t)
@@ -149,10 +150,24 @@
 	// One that is left alone knows too little.
 	second.stop()
 	is.NoErr(second.group.Wait())
-	eventually(t, "out of date", func() bool {
-		status, _ := get(first.settings.ReadyAddress, "/")
-		return status == 503
-	})
+	first.awaitReadiness(t, 503)
+}
+
+// If operators had taken the isolated zone out, balancers of other zones serve its
+// callers better.
+func TestBalancersOfAnIsolatedZoneThatIsOutAreNotReady(t *testing.T) {
+	s := &store{}
+	s.set("op/config", configurationText)
+	s.set("servers/i-00ab", strings.Replace(registration(newServer(t).address), `"zone":"b"`, `"zone":"a"`, 1))
+	s.set("op/evacuate/a", "{}")
+	first, second := newNode(t, "n1", s), newNode(t, "n2", s)
+	first.start(t)
+	second.start(t)
+	first.awaitReadiness(t, 200)
+	second.awaitReadiness(t, 200)
+	s.setDown(true)
+	first.awaitReadiness(t, 503)
+	second.awaitReadiness(t, 503)
 }
 
 // On a stop the balancer says so at once and forwards until the routers are gone.
--- a/balancer/lifecycle.go
+++ b/balancer/lifecycle.go
@@ -13,9 +13,9 @@
 	// an older view may miss one. If no balancer of a zone is ready, the routers
 	// use all of them, so an outage of the store turns nobody away.
 	readyAge = 3 * time.Second
-	// isolatedAge is the same where all balancers of the zone are without the store:
-	// they reach targets that those of other zones may not. At the strictest, a
-	// configuration may take 15 s while the store turns balancers away.
+	// isolatedAge is the same where all balancers of the zone are without the store
+	// and the zone has targets: those of other zones may not reach them. At the
+	// strictest, a configuration may take 15 s while the store turns balancers away.
 	isolatedAge = 12 * time.Second
 	// turnAway is how long the routers take to stop sending: two missed checks at
 	// 0.5 s each, and one more for the time between them.
@@ -43,12 +43,12 @@
 	if b.stopping.Load() {
 		return "stopping"
 	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	oldest := readyAge
-	if b.follower.Isolated() {
+	if b.follower.Isolated() && b.director.ServesZone() {
 		oldest = isolatedAge
 	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
 	age, known := b.view.replica.Age(now)
 	_, configured := b.director.Version()
 	switch {
--- a/director/locality.go
+++ b/director/locality.go
@@ -106,6 +106,17 @@
 	return home, all, zones
 }
 
+// ServesZone reports whether the own zone has targets that take new flows, and isn't
+// taken out itself.
+func (d *Director) ServesZone() bool {
+	for _, m := range d.byName {
+		if m.AvailabilityZone == d.zone && d.usable(m) {
+			return true
+		}
+	}
+	return false
+}
+
 // isHome reports whether a target is in the own zone and ready for its flows.
 func (d *Director) isHome(now time.Time, m *member) bool {
 	return m.AvailabilityZone == d.zone && d.usable(m) && !m.suspect(now) && !now.Before(m.coldUntil)
--- a/director/locality_test.go
+++ b/director/locality_test.go
@@ -123,6 +123,25 @@
 	}
 }
 
+// A zone that operators have taken out, or whose targets all leave, doesn't serve its
+// callers, however little its balancers can reach beyond it.
+func TestZoneServesWhileItHasTargets(t *testing.T) {
+	is := is.New(t)
+	d := newZoned()
+	is.True(d.ServesZone())
+	d.SetOut("a", true)
+	is.True(!d.ServesZone())
+	d.SetOut("a", false)
+	is.True(d.ServesZone())
+	for id := 3; id <= 15; id += 3 {
+		leaving := target(id)
+		leaving.Draining = true
+		d.SetTarget(start, leaving)
+	}
+	is.True(!d.ServesZone())
+	is.True(!newDirector(15).ServesZone())
+}
+
 // What is explained is what happens.
 func TestExplainedOpeningStaysInTheZone(t *testing.T) {
 	is := is.New(t)
