--- a/standin/disturber/datagrams.go
+++ b/standin/disturber/datagrams.go
@@ -14,6 +14,8 @@
 	// delayed; others overtake it.
 	lose float64
 	late time.Duration
+	// twice is the share of datagrams that come twice.
+	twice float64
 	// cut holds the pairs of addresses that can't reach each other.
 	cut map[[2]netip.Addr]bool
 }
@@ -22,8 +24,13 @@
 func (d *Datagrams) Carry(send func()) {
 	d.mu.Lock()
 	lost := d.lose > 0 && rand.Float64() < d.lose
+	twice := d.twice > 0 && rand.Float64() < d.twice
 	late := d.late
 	d.mu.Unlock()
+	if twice {
+		// The second one comes as late as any other may.
+		time.AfterFunc(rand.N(doubleWithin), send)
+	}
 	switch {
 	case lost:
 	case late > 0:
@@ -33,6 +40,17 @@
 	}
 }
 
+// doubleWithin bounds the time between the two of a doubled datagram: both ends send
+// again after 200 ms, so it spans that.
+const doubleWithin = 300 * time.Millisecond
+
+// SetTwice has a share of the datagrams come twice.
+func (d *Datagrams) SetTwice(share float64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.twice = share
+}
+
 // Set has a share of the datagrams lost, and each delayed by up to late.
 func (d *Datagrams) Set(lose float64, late time.Duration) {
 	d.mu.Lock()
--- a/standin/disturber/disturber_test.go
+++ b/standin/disturber/disturber_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -89,6 +90,19 @@
 	d.Carry(send)
 	is.Equal(sent, 1)
 	d.Set(0, 0)
+	var came atomic.Int32
+	d.SetTwice(1)
+	d.Carry(func() { came.Add(1) })
+	for range 100 {
+		if came.Load() == 2 {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	is.Equal(came.Load(), int32(2))
+	d.SetTwice(0)
+	d.Carry(send)
+	is.Equal(sent, 2)
 	a, b := netip.MustParseAddr("127.0.0.1"), netip.MustParseAddr("127.0.0.2")
 	is.True(!d.IsCut(a, b))
 	d.SetCut(a, b, true)
