Compare placement in the zone with placement over all, in the model of the targets

Cause: the model showed the decisions openings only, so they never knew what callers ask for; and it had no load with callers in one zone, nor said what crosses zones.

Change: balancers see each request and answer; a load with nine tenths of the callers in one zone; the part of the requests that crosses zones is printed and has two tests.

--- a/standin/cmd_place.go
+++ b/standin/cmd_place.go
@@ -38,12 +38,12 @@
 		return &UnknownChoiceError{flag: "size", value: name}
 	}
 	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "load\tway\trequests\tin goal\tlate\tturned away\tp50\tp99\tbusiest/mean")
+	fmt.Fprintln(w, "load\tway\trequests\tin goal\tlate\tturned away\tacross\tp50\tp99\tbusiest/mean")
 	for _, load := range modeler.Loads(size, cmd.Uint64("seed")) {
 		for _, way := range modeler.Ways() {
 			res := modeler.Play(load, way)
-			fmt.Fprintf(w, "%s\t%s\t%d\t%.4f\t%.4f\t%.4f\t%d ms\t%d ms\t%.2f\n", load.Pattern, way.Name, res.Requests,
-				res.InGoal, res.Late, res.TurnedAway, res.P50/time.Millisecond, res.P99/time.Millisecond, res.BusiestOverMean)
+			fmt.Fprintf(w, "%s\t%s\t%d\t%.4f\t%.4f\t%.4f\t%.4f\t%d ms\t%d ms\t%.2f\n", load.Pattern, way.Name, res.Requests,
+				res.InGoal, res.Late, res.TurnedAway, res.Across, res.P50/time.Millisecond, res.P99/time.Millisecond, res.BusiestOverMean)
 		}
 	}
 	return errors.Wrap(w.Flush(), "writing the table")
--- a/standin/modeler/modeler.go
+++ b/standin/modeler/modeler.go
@@ -88,6 +88,9 @@
 	SlowShare float64
 	Slow      float64
 	LostZones int
+	// FirstZone is the part of the callers in the first zone; 0 has them in all zones
+	// evenly.
+	FirstZone float64
 	Seed      uint64
 }
 
@@ -100,6 +103,7 @@
 		{Size: s, Pattern: "a zone out", Burst: 1, LostZones: 1, Seed: seed},
 		{Size: s, Pattern: "a zone out in a burst of 1.7", Burst: 1.7, LostZones: 1, Seed: seed},
 		{Size: s, Pattern: "all zones but one out", Burst: 1, LostZones: s.Zones - 1, Seed: seed},
+		{Size: s, Pattern: "nine tenths of the callers in one zone", Burst: 1, FirstZone: 0.9, Seed: seed},
 	}
 }
 
@@ -111,22 +115,31 @@
 	InGoal, Late, TurnedAway float64
 	// P50 and P99 are of the time to the answer.
 	P50, P99 time.Duration
+	// Across is the part sent to another zone's targets, which a cut between zones
+	// would lose.
+	Across float64
 	// BusiestOverMean is the most requests of a target over the mean.
 	BusiestOverMean float64
 }
 
 // request is one request of a caller.
 type request struct {
-	first    time.Duration
-	tries    int
-	balancer int
-	target   int
-	user     *user
+	first time.Duration
+	tries int
+	flow
+	number int
+	user   *user
+}
+
+// flow is where a flow comes from and goes to; its key tells it apart.
+type flow struct {
+	balancer, target int
+	key              uint64
 }
 
 // user is a caller with a long flow.
 type user struct {
-	balancer, target int
+	flow
 }
 
 // server is a target.
@@ -154,6 +167,8 @@
 	times   []time.Duration
 	result  Result
 	away    int
+	across  int
+	sent    int
 }
 
 // Play plays a load with a way of choosing targets.
@@ -173,7 +188,7 @@
 	}
 	for range l.Users {
 		u := &user{}
-		r.open(u)
+		u.flow = r.open()
 		r.after(time.Duration(r.random.Float64()*float64(l.Pause)), func() { r.ask(u) })
 	}
 	r.after(0, r.single)
@@ -202,10 +217,22 @@
 	}
 }
 
-// open gives a user a new flow.
-func (r *Run) open(u *user) {
-	u.balancer = r.random.IntN(r.load.Balancers)
-	u.target = r.way.choose(r, u.balancer, r.random.Uint64())
+// open opens a flow.
+func (r *Run) open() flow {
+	f := flow{balancer: r.random.IntN(r.load.Balancers)}
+	if r.load.FirstZone > 0 {
+		zone := 0
+		if r.random.Float64() >= r.load.FirstZone {
+			zone = 1 + r.random.IntN(r.load.Zones-1)
+		}
+		f.balancer += zone - f.balancer%r.load.Zones
+		if f.balancer >= r.load.Balancers {
+			f.balancer = zone
+		}
+	}
+	f.key = r.random.Uint64()
+	f.target = r.way.choose(r, f.balancer, f.key)
+	return f
 }
 
 // rate is by how much more requests come now.
@@ -219,16 +246,14 @@
 // ask sends a request of a user.
 func (r *Run) ask(u *user) {
 	if u.target == refused || r.lost(u.target) {
-		r.open(u)
+		u.flow = r.open()
 	}
-	r.send(&request{first: r.now, balancer: u.balancer, target: u.target, user: u})
+	r.send(&request{first: r.now, flow: u.flow, user: u})
 }
 
 // single sends a request with a flow of its own, and so on.
 func (r *Run) single() {
-	q := &request{first: r.now, balancer: r.random.IntN(r.load.Balancers)}
-	q.target = r.way.choose(r, q.balancer, r.random.Uint64())
-	r.send(q)
+	r.send(&request{first: r.now, flow: r.open()})
 	r.after(time.Duration(r.random.ExpFloat64()/(r.load.Single*r.rate())*float64(time.Second)), r.single)
 }
 
@@ -245,6 +270,11 @@
 	}
 	r.pending[q.target]++
 	r.own[q.balancer][q.target]++
+	r.sent++
+	q.number = r.sent
+	if r.way.began != nil {
+		r.way.began(r, q)
+	}
 	if s.busy >= r.load.Slots {
 		s.waiting = append(s.waiting, q)
 		return
@@ -260,12 +290,9 @@
 		return
 	}
 	r.after(retryPause, func() {
+		q.flow = r.open()
 		if q.user != nil {
-			r.open(q.user)
-			q.balancer, q.target = q.user.balancer, q.user.target
-		} else {
-			q.balancer = r.random.IntN(r.load.Balancers)
-			q.target = r.way.choose(r, q.balancer, r.random.Uint64())
+			q.user.flow = q.flow
 		}
 		r.send(q)
 	})
@@ -292,6 +319,9 @@
 			s.waiting = s.waiting[1:]
 			r.work(next)
 		}
+		if r.way.answered != nil {
+			r.way.answered(r, q)
+		}
 		r.finish(q, true)
 	})
 }
@@ -300,6 +330,9 @@
 func (r *Run) finish(q *request, answered bool) {
 	if q.first >= start && q.first < start+trouble {
 		r.result.Requests++
+		if answered && q.target%r.load.Zones != q.balancer%r.load.Zones {
+			r.across++
+		}
 		if answered {
 			r.times = append(r.times, r.now-q.first)
 		} else {
@@ -332,6 +365,7 @@
 	res.InGoal = float64(inGoal) / all
 	res.Late = float64(len(r.times)-inGoal) / all
 	res.TurnedAway = float64(r.away) / all
+	res.Across = float64(r.across) / all
 	if len(r.times) > 0 {
 		res.P50 = r.times[len(r.times)/2]
 		res.P99 = r.times[(len(r.times)-1)*99/100]
--- a/standin/modeler/modeler_test.go
+++ b/standin/modeler/modeler_test.go
@@ -28,7 +28,7 @@
 // users' sites. The decisions that are shipped keep the goal.
 func TestShippedPlacementKeepsTheGoal(t *testing.T) {
 	for _, size := range []modeler.Size{modeler.Small(), modeler.Grown()} {
-		for _, pattern := range []string{"calm", "burst of 1.7", "a zone out", "a zone out in a burst of 1.7"} {
+		for _, pattern := range []string{"calm", "burst of 1.7", "a zone out", "a zone out in a burst of 1.7", "nine tenths of the callers in one zone"} {
 			t.Run(size.Name+", "+pattern, func(t *testing.T) {
 				is := is.New(t)
 				res := modeler.Play(load(t, size, pattern), modeler.Ways()[0])
@@ -39,6 +39,25 @@
 	}
 }
 
+// Load pattern: a zone has room for its own callers, and may be cut off at any moment.
+// None of their requests leaves it; without the preference two of three do.
+func TestRequestsStayInAZoneWithRoom(t *testing.T) {
+	is := is.New(t)
+	ways := modeler.Ways()
+	is.True(modeler.Play(load(t, modeler.Grown(), "calm"), ways[0]).Across < 0.01)
+	is.True(modeler.Play(load(t, modeler.Grown(), "calm"), ways[1]).Across > 0.6)
+}
+
+// Load pattern: nine tenths of the callers are in one zone of three, which has a third
+// of the slots. What it has no room for goes to the others, so fewer are late than if
+// all stayed.
+func TestZoneThatIsTooSmallShares(t *testing.T) {
+	is := is.New(t)
+	res := modeler.Play(load(t, modeler.Small(), "nine tenths of the callers in one zone"), modeler.Ways()[0])
+	is.True(res.Across > 0.1)
+	is.True(res.BusiestOverMean < 2.5)
+}
+
 // Requests are answered or turned away, and none is lost, whatever the load.
 func TestEachRequestHasAnOutcome(t *testing.T) {
 	for _, l := range modeler.Loads(modeler.Small(), 3) {
--- a/standin/modeler/way.go
+++ b/standin/modeler/way.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"trefoilspring.example/trefoilspring/director"
+	"trefoilspring.example/trefoilspring/tokenizer"
 )
 
 // refused is chosen for a flow that no target is to get.
@@ -17,6 +18,9 @@
 	Name    string
 	choose  func(r *Run, balancer int, key uint64) int
 	prepare func(l Load) any
+	// began and answered are told of each request that a target takes.
+	began    func(r *Run, q *request)
+	answered func(r *Run, q *request)
 	// changed is told that a zone was taken out or is back.
 	changed func(r *Run)
 }
@@ -25,7 +29,11 @@
 // two know what no balancer can know, and so bound the others.
 func Ways() []Way {
 	return []Way{
-		{Name: "rendezvous (shipped)", prepare: directors, choose: decide, changed: takeOut},
+		{
+			Name: "rendezvous in the zone (shipped)", prepare: directorsIn(zoneName), choose: decide,
+			began: showRequest, answered: showAnswer, changed: takeOut,
+		},
+		{Name: "rendezvous over all zones", prepare: directorsIn(elsewhere), choose: decide, changed: takeOut},
 		{Name: "two choices, own evidence", choose: twoChoices(ownEvidence)},
 		{Name: "least pending, own evidence", choose: leastPending(ownEvidence)},
 		{Name: "two choices, the zone's evidence", choose: twoChoices(zoneEvidence)},
@@ -42,11 +50,20 @@
 	route = netip.MustParseAddrPort("198.18.0.1:443")
 )
 
-// directors returns the decisions of each balancer, as they are shipped.
-func directors(l Load) any {
+// elsewhere is a zone without targets.
+func elsewhere(int) string { return "elsewhere" }
+
+// directorsIn returns the decisions of each balancer, as they are shipped, in the zone
+// that in gives for its number.
+func directorsIn(in func(zone int) string) func(l Load) any {
+	return func(l Load) any { return directors(l, in) }
+}
+
+func directors(l Load, in func(zone int) string) any {
 	all := make([]*director.Director, l.Balancers)
 	for b := range all {
-		all[b] = director.New(uint64(b)+1, zoneName(b%l.Zones))
+		all[b] = director.New(uint64(b)+1, in(b%l.Zones))
+		all[b].SetHolders(l.Balancers, l.Balancers/l.Zones)
 		all[b].SetConfiguration(director.Configuration{
 			Version:  1,
 			Routes:   []director.Route{{Name: "r", Address: route, Backends: []director.Backend{{Service: service, Weight: 1}}}},
@@ -65,14 +82,29 @@
 func zoneName(n int) string { return string(rune('a' + n)) }
 
 func decide(r *Run, balancer int, key uint64) int {
-	var source [16]byte
-	binary.BigEndian.PutUint64(source[8:], key)
 	d := r.state.([]*director.Director)[balancer].Decide(epoch.Add(r.now), &director.Packet{
-		Source: netip.AddrPortFrom(netip.AddrFrom16(source), 1), Destination: route, Opening: true,
+		Source: sourceOf(key), Destination: route, Opening: true,
 	})
 	return int(d.Target.ID) - 1
 }
 
+func sourceOf(key uint64) netip.AddrPort {
+	var source [16]byte
+	binary.BigEndian.PutUint64(source[8:], key)
+	return netip.AddrPortFrom(netip.AddrFrom16(source), 1)
+}
+
+// showRequest and showAnswer let the balancer of a request see its packets.
+func showRequest(r *Run, q *request) { show(r, q, 2*q.number, 2*q.number-1, []byte("GET / HTTP/1.1")) }
+func showAnswer(r *Run, q *request)  { show(r, q, 2*q.number, 2*q.number, nil) }
+
+func show(r *Run, q *request, sequence, acknowledged int, data []byte) {
+	r.state.([]*director.Director)[q.balancer].Decide(epoch.Add(r.now), &director.Packet{
+		Source: sourceOf(q.key), Destination: route, Token: tokenizer.Of(uint64(q.target) + 1),
+		Sequence: uint32(sequence), Acknowledged: uint32(acknowledged), Data: data,
+	})
+}
+
 func takeOut(r *Run) {
 	for _, d := range r.state.([]*director.Director) {
 		for zone := range r.load.LostZones {
