Send flows that leave their zone to the own region first

Cause: a flow that its zone has no room for went to any zone.

Change: the ranking takes targets of the own region before others, and both before those that something speaks against. The settings say which region a zone is in.

Ruled out: routes with regions of their own.

On sites with one region nothing changes.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -37,6 +37,8 @@
 	// Name tells the balancer apart from all others, also after a restart.
 	Name             string
 	AvailabilityZone string
+	// Regions gives the region of each availability zone.
+	Regions map[string]string
 	// DataAddress takes callers' packets. Callers are reached at its port.
 	DataAddress netip.AddrPort
 	// ReadyAddress answers the routers' readiness checks.
@@ -124,6 +126,7 @@
 		log:       log.With("balancer", settings.Name),
 		director:  director.New(xxhash.Sum64String(settings.Name), settings.AvailabilityZone),
 	}
+	b.director.SetRegions(settings.Regions)
 	b.viewed = make(chan struct{})
 	b.checks = make(chan director.Check, queuedChecks)
 	b.seeds.Store(&settings.Seeds)
--- a/balancer/reloader.go
+++ b/balancer/reloader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 )
@@ -68,6 +69,7 @@
 	}{
 		{"name", before.Name != after.Name},
 		{"availability-zone", before.AvailabilityZone != after.AvailabilityZone},
+		{"regions", !maps.Equal(before.Regions, after.Regions)},
 		{"data-address", before.DataAddress != after.DataAddress},
 		{"ready-address", before.ReadyAddress != after.ReadyAddress},
 		{"peer-address", before.PeerAddress != after.PeerAddress},
--- a/director/chooser.go
+++ b/director/chooser.go
@@ -1,6 +1,7 @@
 package director
 
 import (
+	"cmp"
 	"encoding/binary"
 	"math"
 	"time"
@@ -58,30 +59,28 @@
 	return unit(hash2(d.seed, m.ID))
 }
 
-// best returns the ranking's first that is neither avoided nor tried. Suspects
-// come last.
+// best returns the ranking's first that is neither avoided nor tried: of the own
+// region, or else of others, or else of those that something speaks against.
 func (d *Director) best(now time.Time, key uint64, p *pool, avoid *member, tried []*member) *member {
-	var best, suspect *member
-	var bestScore, suspectScore float64
+	const near, far, doubtful, classes = 0, 1, 2, 3
+	var best [classes]*member
+	var bestScore [classes]float64
 	for _, m := range p.members {
 		if m == avoid || !d.usable(m) || holds(tried, m) {
 			continue
 		}
-		s := score(key, m)
-		if m.suspect(now) {
-			if s > suspectScore {
-				suspect, suspectScore = m, s
-			}
-			continue
+		class := far
+		switch {
+		case m.suspect(now):
+			class = doubtful
+		case d.regions[m.AvailabilityZone] == d.regions[d.zone]:
+			class = near
 		}
-		if s > bestScore {
-			best, bestScore = m, s
+		if s := score(key, m); s > bestScore[class] {
+			best[class], bestScore[class] = m, s
 		}
 	}
-	if best == nil {
-		return suspect
-	}
-	return best
+	return cmp.Or(best[near], best[far], best[doubtful])
 }
 
 // usable reports whether a target takes new flows by what it and the operators say.
--- a/director/director.go
+++ b/director/director.go
@@ -108,6 +108,7 @@
 	gone    *graveyard
 	out     map[string]bool
 	zones   map[string]*zoneEvidence
+	regions map[string]string
 	holders int
 	// zoneHolders is how many balancers are in the own zone.
 	zoneHolders int
--- a/director/view.go
+++ b/director/view.go
@@ -183,6 +183,10 @@
 	delete(d.out, zone)
 }
 
+// SetRegions says which region each availability zone is in. It is called before the
+// first packet. Zones that it lacks are in one region together, whose name is empty.
+func (d *Director) SetRegions(regions map[string]string) { d.regions = regions }
+
 // SetHolders sets how many balancers there are, among which the rate of a cold target
 // is divided, and how many of them are in the own availability zone.
 func (d *Director) SetHolders(all, zone int) {
