--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -146,6 +146,9 @@
 	for _, n := range []*node{first, second} {
 		status, _ := get(n.settings.ReadyAddress, "/")
 		is.Equal(status, 200)
+		is.True(n.log.has("availability zone isolated"))
+		_, text := get(n.settings.MetricsAddress, "/metrics")
+		is.True(strings.Contains(text, "trefoilspring_zone_isolated 1"))
 	}
 	// One that is left alone knows too little.
 	second.stop()
--- a/balancer/explain.go
+++ b/balancer/explain.go
@@ -52,6 +52,7 @@
 			Unreachable:  suspicions.Unreachable,
 			SuspectZones: suspicions.Zones,
 			ZonesOut:     suspicions.Out,
+			Crowded:      suspicions.Crowded,
 		},
 	}
 	for name := range b.view.peers {
@@ -93,7 +94,7 @@
 
 var reasonTexts = map[director.Reason]string{
 	director.ReasonFlow:       "the packet's token names this target",
-	director.ReasonOpening:    "this target comes first for the flow, of those that take flows and that nothing speaks against",
+	director.ReasonOpening:    "this target comes first for the flow, of those that take flows and that nothing speaks against, in this zone while it has room",
 	director.ReasonRepeated:   "the flow was seen in the last seconds and went to this target",
 	director.ReasonNoRoute:    "no route of the configuration in force has this address",
 	director.ReasonNoTarget:   "no target of the service takes flows",
--- a/balancer/meters.go
+++ b/balancer/meters.go
@@ -70,6 +70,12 @@
 		defer b.mu.Unlock()
 		return float64(b.director.Targets())
 	})
+	set.NewGauge("trefoilspring_zone_isolated", func() float64 {
+		if b.follower.Isolated() {
+			return 1
+		}
+		return 0
+	})
 	set.NewGauge("trefoilspring_peers", func() float64 {
 		b.mu.Lock()
 		defer b.mu.Unlock()
--- a/balancer/packets.go
+++ b/balancer/packets.go
@@ -184,7 +184,7 @@
 		fields = append(fields, "copy", packet.Copy)
 	}
 	if t := d.Target; t != nil {
-		fields = append(fields, "target", t.Name, "service", t.Service, "target-address", t.Address.String(), "token", uint32(d.Token))
+		fields = append(fields, "target", t.Name, "target-zone", t.AvailabilityZone, "service", t.Service, "target-address", t.Address.String(), "token", uint32(d.Token))
 	} else if packet.Token != 0 {
 		fields = append(fields, "token", uint32(packet.Token))
 	}
--- a/cmd_status.go
+++ b/cmd_status.go
@@ -173,7 +173,7 @@
 	for _, list := range []struct {
 		title string
 		names []string
-	}{{"unreachable targets", v.Unreachable}, {"suspect zones", v.SuspectZones}, {"zones out", v.ZonesOut}} {
+	}{{"unreachable targets", v.Unreachable}, {"suspect zones", v.SuspectZones}, {"zones out", v.ZonesOut}, {"crowded services", v.Crowded}} {
 		if len(list.names) > 0 {
 			fmt.Fprintf(b, "%s: %s: %s\n", s.Name, list.title, strings.Join(list.names, ", "))
 		}
--- a/director/explain.go
+++ b/director/explain.go
@@ -87,6 +87,9 @@
 	Zones       []string
 	// Out are the zones that operators have taken out.
 	Out []string
+	// Crowded are the services of whose callers in the own zone some flows go to other
+	// zones, because its targets have no room for all.
+	Crowded []string
 }
 
 // Suspicions returns what is held against targets and zones now.
@@ -105,6 +108,12 @@
 	for name := range d.out {
 		s.Out = append(s.Out, name)
 	}
+	for service, p := range d.pools {
+		if d.homeShare(now, p) < 1 {
+			s.Crowded = append(s.Crowded, service)
+		}
+	}
+	slices.Sort(s.Crowded)
 	slices.Sort(s.Unreachable)
 	slices.Sort(s.Zones)
 	slices.Sort(s.Out)
--- a/director/locality.go
+++ b/director/locality.go
@@ -77,12 +77,23 @@
 // The routers spread a zone's packets evenly over its balancers, so what passes here
 // is a known part of what the zone's callers ask for.
 func (d *Director) staysHome(now time.Time, key uint64, p *pool) bool {
+	return unit(hash2(key, homeSalt)) < d.homeShare(now, p)
+}
+
+// homeShare returns the part of new flows that stays in the own zone, from 0 to 1.
+func (d *Director) homeShare(now time.Time, p *pool) float64 {
 	home, all, zones := d.slots(now, p)
 	if !p.demand.known {
-		return home*zones >= trustedShare*all
+		if home*zones < trustedShare*all {
+			return 0
+		}
+		return 1
+	}
+	asked, room := p.demand.concurrent*float64(d.zoneHolders), homeUse*home
+	if asked > room {
+		return room / asked
 	}
-	asked := p.demand.concurrent * float64(d.zoneHolders)
-	return unit(hash2(key, homeSalt))*asked < homeUse*home
+	return min(home, 1)
 }
 
 // slots returns how many requests the targets in the own zone can work on at a time,
--- a/director/locality_test.go
+++ b/director/locality_test.go
@@ -57,8 +57,10 @@
 func TestFlowsStayInAZoneWithRoom(t *testing.T) {
 	is := is.New(t)
 	// 30 requests a second at each of 4 balancers, 50 ms each, fill 6 of 15 slots.
-	parts := askFor(newZoned(), start, 5, 30)
+	d := newZoned()
+	parts := askFor(d, start, 5, 30)
 	is.Equal(parts, map[string]float64{"a": parts["a"]})
+	is.Equal(len(d.Suspicions(start.Add(5*time.Second)).Crowded), 0)
 }
 
 // Load pattern: the callers of one zone ask for twice what its targets should have at a
@@ -66,7 +68,9 @@
 func TestZoneWithoutRoomSendsTheRestElsewhere(t *testing.T) {
 	is := is.New(t)
 	// 75 requests a second at each of 4 balancers fill 15 slots of 15.
-	parts := askFor(newZoned(), start, 8, 75)
+	d := newZoned()
+	parts := askFor(d, start, 8, 75)
+	is.Equal(d.Suspicions(start.Add(8*time.Second)).Crowded, []string{"desk"})
 	is.True(abs(int(100*(parts["a"]-(0.5+0.5/3)))) <= 15)
 	is.True(parts["b"] > 0.05)
 	is.True(parts["c"] > 0.05)
--- a/director/zones.go
+++ b/director/zones.go
@@ -1,7 +1,8 @@
 package director
 
 import (
-	"sort"
+	"cmp"
+	"slices"
 	"time"
 )
 
@@ -109,6 +110,6 @@
 			all = append(all, other)
 		}
 	}
-	sort.Slice(all, func(i, j int) bool { return d.phase(all[i]) < d.phase(all[j]) })
+	slices.SortFunc(all, func(a, b *member) int { return cmp.Compare(d.phase(a), d.phase(b)) })
 	return all
 }
--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -78,6 +78,9 @@
 	Unreachable  []string `json:"unreachable-targets"`
 	SuspectZones []string `json:"suspect-zones"`
 	ZonesOut     []string `json:"zones-out"`
+	// Crowded are services of which some flows leave the balancer's zone, since its
+	// targets have no room for all that its callers ask for.
+	Crowded []string `json:"crowded-services"`
 }
 
 // Explanation is what a balancer says of one flow.
--- a/follower/loop.go
+++ b/follower/loop.go
@@ -106,7 +106,7 @@
 	}
 	now := time.Now()
 	f.core.Done(now, source, update.Age, err != nil)
-	f.isolated.Store(f.core.Isolated(now))
+	f.reportIsolation(f.core.Isolated(now))
 	f.report(source, err)
 	if err != nil && f.core.Patient(time.Now()) {
 		return firstPause
@@ -127,6 +127,16 @@
 	return 0
 }
 
+// reportIsolation notes whether the zone is isolated, and logs a change.
+func (f *Follower) reportIsolation(isolated bool) {
+	switch before := f.isolated.Swap(isolated); {
+	case isolated && !before:
+		f.Log.Warn("availability zone isolated: nobody in it knows anything newer of the store")
+	case before && !isolated:
+		f.Log.Info("availability zone no longer isolated")
+	}
+}
+
 // report logs a source that is lost or regained.
 func (f *Follower) report(source Source, err error) {
 	name := source.String()
