Decide on a local target in one place

Cause: choose and explain each asked whether a flow stays in its zone before they looked for a target there, and each opening made a set of zones that only a start needs.

Change: one function returns the local target or none; the even share of the slots is computed only while the demand isn't known. No decision changes.

Seen: the tests of director, modeler and balancer pass.

--- a/director/chooser.go
+++ b/director/chooser.go
@@ -15,17 +15,14 @@
 // target may take the flow.
 //
 // An opening goes to the own availability zone, which no cut between zones takes
-// away, as far as the zone has room. A copy of one goes there in any case, if there
-// is a target that nothing speaks against.
+// away, as far as the zone has room.
 func (d *Director) choose(now time.Time, key uint64, route Route, avoid *member) *member {
 	p := d.pools[pickService(key, route.Backends)]
 	if p == nil {
 		return nil
 	}
-	if avoid != nil || d.staysHome(now, key, p) {
-		if m := d.atHome(now, key, p, avoid); m != nil {
-			return m
-		}
+	if m := d.local(now, key, p, avoid); m != nil {
+		return m
 	}
 	var tried [maxColdTries]*member
 	for n := range tried {
@@ -90,7 +87,7 @@
 
 // score is a target's place in a flow's ranking, weighted by its capacity.
 func score(key uint64, m *member) float64 {
-	return -float64(max(m.Capacity, 1)) / math.Log(unit(hash2(key, m.ID)))
+	return -m.slots() / math.Log(unit(hash2(key, m.ID)))
 }
 
 func holds(members []*member, m *member) bool {
--- a/director/explain.go
+++ b/director/explain.go
@@ -65,10 +65,7 @@
 	if p == nil {
 		return Decision{Action: Reset, Reason: ReasonNoTarget}
 	}
-	var m *member
-	if d.staysHome(now, key, p) {
-		m = d.atHome(now, key, p, nil)
-	}
+	m := d.local(now, key, p, nil)
 	if m == nil {
 		m = d.best(now, key, p, nil, nil)
 	}
--- a/director/locality.go
+++ b/director/locality.go
@@ -69,22 +69,42 @@
 	m.since, m.requests, m.timed, m.took = now, 0, 0, 0
 }
 
-// staysHome reports whether a new flow stays in the own zone: each does as long as
-// the zone's targets have room for what its callers ask for. It answers two load
-// patterns: zones that are cut off from each other, where only flows that cross a cut
-// are lost, and callers of one zone who ask for more than its targets bear.
+// local returns the ranking's first of the own zone that isn't avoided. It returns nil if
+// none is ready, or if the flow is one of those that the zone has no room for. A copy of
+// an opening, which avoids the first one's target, gets a local target in any case.
 //
-// The routers spread a zone's packets evenly over its balancers, so what passes here
-// is a known part of what the zone's callers ask for.
-func (d *Director) staysHome(now time.Time, key uint64, p *pool) bool {
-	return unit(hash2(key, homeSalt)) < d.homeShare(now, p)
+// It answers two load patterns: zones that are cut off from each other, where only flows
+// that cross a cut are lost, and callers of one zone who ask for more than its targets
+// bear.
+func (d *Director) local(now time.Time, key uint64, p *pool, avoid *member) *member {
+	if avoid == nil && unit(hash2(key, homeSalt)) >= d.homeShare(now, p) {
+		return nil
+	}
+	var best *member
+	var bestScore float64
+	for _, m := range p.members {
+		if m == avoid || !d.isHome(now, m) {
+			continue
+		}
+		if s := score(key, m); s > bestScore {
+			best, bestScore = m, s
+		}
+	}
+	return best
 }
 
-// homeShare returns the part of new flows that stays in the own zone, from 0 to 1.
+// homeShare returns the part of new flows that the own zone has room for, from 0 to 1.
+// The routers spread a zone's packets evenly over its balancers, so what passes here is
+// a known part of what the zone's callers ask for.
 func (d *Director) homeShare(now time.Time, p *pool) float64 {
-	home, all, zones := d.slots(now, p)
+	home := 0.0
+	for _, m := range p.members {
+		if d.isHome(now, m) {
+			home += m.slots()
+		}
+	}
 	if !p.demand.known {
-		if home*zones < trustedShare*all {
+		if home < trustedShare*d.evenShare(p) {
 			return 0
 		}
 		return 1
@@ -96,25 +116,20 @@
 	return min(home, 1)
 }
 
-// slots returns how many requests the targets in the own zone can work on at a time,
-// how many all targets can, and in how many zones they are.
-func (d *Director) slots(now time.Time, p *pool) (home, all, zones float64) {
-	seen := make(map[*zoneEvidence]bool, len(d.zones))
+// slots returns how many requests the target can work on at a time.
+func (m *member) slots() float64 { return float64(max(m.Capacity, 1)) }
+
+// evenShare returns how many slots each zone that has any would have, if all had as many.
+func (d *Director) evenShare(p *pool) float64 {
+	all := 0.0
+	zones := make(map[*zoneEvidence]bool, len(d.zones))
 	for _, m := range p.members {
-		if !d.usable(m) {
-			continue
-		}
-		slots := float64(max(m.Capacity, 1))
-		all += slots
-		if d.isHome(now, m) {
-			home += slots
-		}
-		if !seen[m.zone] {
-			seen[m.zone] = true
-			zones++
+		if d.usable(m) {
+			all += m.slots()
+			zones[m.zone] = true
 		}
 	}
-	return home, all, zones
+	return all / float64(max(len(zones), 1))
 }
 
 // ServesZone reports whether the own zone has targets that take new flows, and isn't
@@ -128,23 +143,8 @@
 	return false
 }
 
-// isHome reports whether a target is in the own zone and ready for its flows.
+// isHome reports whether a target is in the own zone and ready for any flow: a cold one
+// isn't.
 func (d *Director) isHome(now time.Time, m *member) bool {
 	return m.AvailabilityZone == d.zone && d.usable(m) && !m.suspect(now) && !now.Before(m.coldUntil)
 }
-
-// atHome returns the ranking's first of the own zone that isn't avoided, or nil if none
-// is ready.
-func (d *Director) atHome(now time.Time, key uint64, p *pool, avoid *member) *member {
-	var best *member
-	var bestScore float64
-	for _, m := range p.members {
-		if m == avoid || !d.isHome(now, m) {
-			continue
-		}
-		if s := score(key, m); s > bestScore {
-			best, bestScore = m, s
-		}
-	}
-	return best
-}
