--- a/follower/follower.go
+++ b/follower/follower.go
@@ -164,7 +164,7 @@
 		first := rank(c.self.Name) % uint64(len(others))
 		others = append(others[first:len(others):len(others)], others[:first]...)
 	}
-	c.peers = append(readers, others...)
+	c.peers = slices.Concat(readers, others)
 }
 
 func byRank(a, b Peer) int {
