Check targets whose openings are followed by nothing

Change: an opening that neither the caller's next packet nor a copy follows within 150 ms has its target checked, unless that answered another flow since. What a check finds makes a few others of the zone be checked, as before.

Ruled out: waiting for more than one such opening (a balancer has two a second for each target); taking them as proof (the next packet may pass another balancer).

In the test of a lost zone, openings to living targets are now followed by data, as callers send them; its bounds stay.

--- a/director/director.go
+++ b/director/director.go
@@ -117,6 +117,8 @@
 	services map[string]Service
 	flows    *flows
 	checks   []Check
+	// opened are the flows opened in the last moments, in order.
+	opened []opened
 	// checking counts the checks whose outcome isn't known yet.
 	checking int
 }
@@ -143,6 +145,7 @@
 
 // Decide says what to do with a packet.
 func (d *Director) Decide(now time.Time, p *Packet) Decision {
+	d.doubtSilent(now)
 	route, ok := d.routes[p.Destination]
 	switch {
 	case !d.known:
@@ -231,6 +234,7 @@
 		}
 		if f = d.flows.add(now, key, p); f != nil {
 			f.last, f.openedAt = m.token, now
+			d.opened = append(d.opened, opened{key: key, at: now})
 		}
 		return forwardOpening(m, ReasonOpening)
 	}
--- /dev/null
+++ b/director/silent_test.go
@@ -0,0 +1,49 @@
+package director_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"trefoilspring.example/trefoilspring/director"
+)
+
+// Load pattern: three of a zone's five targets crash at once, and their hosts reset what
+// comes. Callers send no copies, so only what doesn't follow shows it. Within a second no
+// flow goes to them. (Recorded day inc-d73c: 1.3 s until the registrations lapsed, 105
+// requests failed that were tried three times.)
+func TestOpeningsThatNothingFollowsHaveTheirTargetChecked(t *testing.T) {
+	is := is.New(t)
+	d := newZoned()
+	askFor(d, start, 3, 30)
+	crashed := map[string]bool{"t-3": true, "t-6": true, "t-9": true}
+	late := 0
+	for n := range 60 { // 2 s
+		now := start.Add(3*time.Second + time.Duration(n)*time.Second/30)
+		decision := d.Decide(now, opening(5000+n, 0))
+		switch {
+		case !crashed[decision.Target.Name]:
+			d.Decide(now.Add(10*time.Millisecond), data(5000+n, board, decision.Token, 1, 1))
+		case n >= 30:
+			late++
+		}
+		for _, c := range d.Checks() {
+			verdict := director.Reachable
+			if crashed[c.Name] {
+				verdict = director.Unreachable
+			}
+			d.Checked(now.Add(30*time.Millisecond), c, verdict)
+		}
+	}
+	is.Equal(late, 0)
+}
+
+// Targets that answer aren't checked, nor is one whose flows a copy follows: that has its
+// own rule.
+func TestAnsweredOpeningsCauseNoChecks(t *testing.T) {
+	is := is.New(t)
+	d := newZoned()
+	askFor(d, start, 5, 30)
+	is.Equal(len(d.Checks()), 0)
+}
--- a/director/zones_test.go
+++ b/director/zones_test.go
@@ -34,6 +34,8 @@
 			if n >= 3*perSecond {
 				late++
 			}
+		} else {
+			d.Decide(now, data(1000+n, board, decision.Token, 1, 1))
 		}
 		for _, c := range d.Checks() {
 			checks++
