Ask the store after two peers that don't answer

Change: a balancer whose peer didn't answer asks the first that is left, most likely a reader already, and after two such peers in a row the store itself. Peers that answer with old knowledge don't count, so an outage of the store makes no fleet of callers.

The one of dead readers expected that two of three ask the store at once; all three do now, once, and two go on reading it: it looks at both.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -38,6 +38,9 @@
 	// failure in a row up to shunForMost.
 	shunFor     = 2 * time.Second
 	shunForMost = 16 * time.Second
+	// maxMisses is how many peers in a row may not answer before a balancer asks the
+	// store itself. Each takes 1.1 s to be given up, and a view must not be 3 s old.
+	maxMisses = 2
 	// alikeFor is how long the answer of a balancer that knows nothing newer counts:
 	// it is asked again once it has been left alone for shunForMost.
 	alikeFor = 20 * time.Second
@@ -115,6 +118,9 @@
 	starting     bool
 	patientUntil time.Time
 	tries        int
+	// misses counts the peers in a row that did not answer, the last at missedAt.
+	misses   int
+	missedAt time.Time
 	// freshAt is when a source last had knowledge that isn't old, and informed the last
 	// peer that had.
 	freshAt  time.Time
@@ -204,11 +210,20 @@
 // Next returns the source to ask now, or how long to wait before there is one.
 func (c *Core) Next(now time.Time) (Source, time.Duration) {
 	readers := c.readers(now)
-	if (!c.starting || c.Patient(now)) && !slices.Contains(readers, c.self) {
+	retry := c.healthOf("").shunUntil
+	misses := c.misses
+	if now.Sub(c.missedAt) > shunForMost {
+		misses = 0
+	}
+	lost := misses >= maxMisses && !now.Before(retry)
+	if (!c.starting || c.Patient(now)) && !slices.Contains(readers, c.self) && !lost {
+		if misses > 0 {
+			// The first that is left has most likely read for the zone before.
+			return Source{Peer: readers[0]}, 0
+		}
 		// Halves of the zone ask different readers.
 		return Source{Peer: readers[(rank(c.self.Name)+uint64(c.tries))%uint64(len(readers))]}, 0
 	}
-	retry := c.healthOf("").shunUntil
 	if !now.Before(retry) {
 		return Source{}, 0
 	}
@@ -268,6 +283,7 @@
 	if !failed && age <= staleAge {
 		*h = health{}
 		c.freshAt = now
+		c.misses = 0
 		if !s.Store() {
 			c.informed = s.Peer
 		}
@@ -286,6 +302,10 @@
 		h.shunUntil = now.Add(c.storeRetry())
 		return
 	}
+	if failed {
+		c.misses++
+		c.missedAt = now
+	}
 	h.shunUntil = now.Add(min(shunFor<<min(h.failures-1, 8), shunForMost))
 }
 
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -84,7 +84,8 @@
 }
 
 // A reader that fails is left alone, and the next in order takes its place with
-// those that noticed.
+// those that noticed. Who lost two in a row asks the store at once, and goes on reading
+// it only if it comes next.
 func TestReaderThatFailsIsReplaced(t *testing.T) {
 	is := is.New(t)
 	peers := zone("a", 5)
@@ -102,6 +103,9 @@
 				c.Done(now, follower.Source{Peer: p}, 0, true)
 			}
 		}
+		s, _ := c.Next(now)
+		is.True(s.Store())
+		c.Done(now, s, 0, false)
 		if s, _ := c.Next(now); s.Store() {
 			replaced++
 		}
