Never let a flow go on at another target with the same flow token

Cause: of two target IDs with one token the lower took the token from the higher when it registered later, so the higher's flows went on at the lower; and a target without a token was never put into its service's pool, so its restart panicked on a nil pool.

Each ID has a second token now, which is issued while two known IDs share the first one. Flows with the shared token belong to the ID that was known first; a packet is dropped while that is uncertain (just started, both known at the same time, one missing or back within the lifetime of a flow). A second name with the ID of a registered target is ignored: it took over that target's flows.

Ruled out: ordering by the start of a target, by ID or by the store's revision: a target that lapses and comes back, or a listing of several pages, gives balancers different orders.

--- a/director/checks.go
+++ b/director/checks.go
@@ -1,10 +1,6 @@
 package director
 
-import (
-	"time"
-
-	"trefoilspring.example/trefoilspring/tokenizer"
-)
+import "time"
 
 // Check is a request to test whether a target is reachable.
 type Check struct {
@@ -62,7 +58,7 @@
 // repeat their requests.
 func (d *Director) RecordVerdict(now time.Time, c Check, v Verdict) []Packet {
 	d.pendingChecks--
-	m := d.checkedMember(now, c)
+	m := d.checkedMember(c)
 	if m == nil {
 		return nil
 	}
@@ -79,7 +75,7 @@
 		h.unreachable = true
 		if newlyUnreachable {
 			d.handleUnreachable(now, m)
-			return d.waitingFlows(m)
+			return d.waitingFlows(now, m)
 		}
 		m.zone.recordStillUnreachable(now)
 	}
@@ -88,10 +84,10 @@
 
 // checkedMember returns the target of a check. It returns nil if the target has restarted
 // since or is no longer known.
-func (d *Director) checkedMember(now time.Time, c Check) *member {
+func (d *Director) checkedMember(c Check) *member {
 	m := d.byName[c.Name]
 	if m == nil {
-		m, _ = d.removed.find(now, tokenizer.Of(c.Target.ID))
+		m = d.removed.find(c.Target.ID)
 	}
 	if m == nil || m.Name != c.Name || m.Started != c.Started {
 		return nil
@@ -101,13 +97,16 @@
 
 // waitingFlows returns the flows of an unreachable target whose callers wait for an answer
 // and may repeat their requests elsewhere.
-func (d *Director) waitingFlows(m *member) []Packet {
+func (d *Director) waitingFlows(now time.Time, m *member) []Packet {
 	var waiting []Packet
 	for _, f := range d.flows.byKey {
-		if f.pinned != m.token || f.waitingSince.IsZero() || !d.mayReset(m, d.routes[f.destination]) {
+		if f.waitingSince.IsZero() || !d.mayReset(m, d.routes[f.destination]) {
+			continue
+		}
+		if pinned, ok := d.tokens.Find(now, f.pinned); !ok || pinned != m {
 			continue
 		}
-		waiting = append(waiting, Packet{Source: f.source, Destination: f.destination, Acknowledged: f.acknowledged, Token: m.token})
+		waiting = append(waiting, Packet{Source: f.source, Destination: f.destination, Acknowledged: f.acknowledged, Token: f.pinned})
 	}
 	return waiting
 }
--- a/director/chooser.go
+++ b/director/chooser.go
@@ -43,8 +43,11 @@
 
 // admitOpening reports whether a target accepts one more new flow now. A cold target accepts
 // only this balancer's share of the service's ColdRate, and each admitted flow counts against
-// this share.
+// this share. A target without a token of its own accepts none.
 func (d *Director) admitOpening(now time.Time, m *member) bool {
+	if d.tokens.Issue(m.ID) == 0 {
+		return false
+	}
 	if !now.Before(m.coldUntil) {
 		return true
 	}
--- a/director/director.go
+++ b/director/director.go
@@ -84,7 +84,7 @@
 	ReasonTargetUnreachable Reason = "target-unreachable" // a check found the target unreachable
 	ReasonTargetLapsed      Reason = "target-lapsed"      // the registration was removed, but the target may still run
 	ReasonNoToken           Reason = "no-token"           // a packet after the opening packet carries no token
-	ReasonUnknownToken      Reason = "unknown-token"      // the token names no known target
+	ReasonUnknownToken      Reason = "unknown-token"      // the token names no known target, or it is uncertain which
 	ReasonNoView            Reason = "no-view"            // there is no configuration yet
 )
 
@@ -192,9 +192,12 @@
 	if token == 0 {
 		return Decision{Action: Drop, Reason: ReasonNoToken}
 	}
-	m, ok := d.tokens.Find(token)
-	if !ok {
-		return d.decideRemoved(now, p, token, route)
+	m, ok := d.tokens.Find(now, token)
+	switch {
+	case !ok:
+		return Decision{Action: Drop, Reason: ReasonUnknownToken}
+	case d.removed.has(m):
+		return d.decideRemoved(now, p, token, m, route)
 	}
 	if f != nil {
 		d.recordObservation(now, p, f, m)
@@ -209,12 +212,9 @@
 // registration lapsed may still run, so its flows go on until the target is confirmed to
 // be gone. If a check finds the target unreachable before that, flows whose requests may be
 // repeated are reset at once.
-func (d *Director) decideRemoved(now time.Time, p *Packet, token tokenizer.Token, route Route) Decision {
-	m, confirmed := d.removed.find(now, token)
+func (d *Director) decideRemoved(now time.Time, p *Packet, token tokenizer.Token, m *member, route Route) Decision {
 	switch {
-	case m == nil:
-		return Decision{Action: Drop, Reason: ReasonUnknownToken}
-	case !confirmed && !d.mayReset(m, route):
+	case !d.removed.confirmed(now, m) && !d.mayReset(m, route):
 		if len(p.Data) > 0 && !m.Draining {
 			d.requestCheck(now, m)
 		}
@@ -252,15 +252,15 @@
 			return Decision{Action: Reset, Reason: ReasonNoTarget}
 		}
 		if f = d.flows.add(now, key, p); f != nil {
-			f.openingToken, f.openingSentAt = m.token, now
+			f.openingToken, f.openingSentAt = d.tokens.Issue(m.ID), now
 			d.openings = append(d.openings, forwardedOpening{key: key, at: now})
 		}
-		return forwardOpening(m, ReasonOpening)
+		return d.forwardOpening(m, ReasonOpening)
 	}
 	f.lastSeen = now
 	if f.pinned != 0 {
-		if m, ok := d.tokens.Find(f.pinned); ok {
-			return forwardOpening(m, ReasonOpeningRepeated)
+		if m, ok := d.registered(now, f.pinned); ok {
+			return Decision{Action: Forward, Reason: ReasonOpeningRepeated, Target: &m.Target, Token: f.pinned}
 		}
 	}
 	return d.decideRetransmittedOpening(now, p, route, f)
@@ -272,10 +272,10 @@
 // has answered another flow since, because then a packet was lost. It does so too if
 // Retransmissions is 0, because then the caller has not retransmitted the packet.
 func (d *Director) decideRetransmittedOpening(now time.Time, p *Packet, route Route, f *flow) Decision {
-	previous, ok := d.tokens.Find(f.openingToken)
+	previous, ok := d.registered(now, f.openingToken)
 	if ok {
 		if previous.health.answeredSince(f.openingSentAt) || p.Retransmissions == 0 {
-			return forwardOpening(previous, ReasonOpeningRepeated)
+			return d.forwardOpening(previous, ReasonOpeningRepeated)
 		}
 		previous.health.recordUnansweredOpening(now)
 		d.requestCheck(now, previous)
@@ -285,16 +285,22 @@
 		if !ok {
 			return Decision{Action: Reset, Reason: ReasonNoTarget}
 		}
-		return forwardOpening(previous, ReasonOpeningRepeated)
+		return d.forwardOpening(previous, ReasonOpeningRepeated)
 	}
-	f.openingToken = m.token
+	f.openingToken = d.tokens.Issue(m.ID)
 	f.openingSentAt = now
-	return forwardOpening(m, ReasonOpeningMoved)
+	return d.forwardOpening(m, ReasonOpeningMoved)
 }
 
 // forwardOpening returns the decision to forward an opening packet to a target.
-func forwardOpening(m *member, reason Reason) Decision {
-	return Decision{Action: Forward, Reason: reason, Target: &m.Target, Token: m.token}
+func (d *Director) forwardOpening(m *member, reason Reason) Decision {
+	return Decision{Action: Forward, Reason: reason, Target: &m.Target, Token: d.tokens.Issue(m.ID)}
+}
+
+// registered returns the registered target that a token names, and whether there is one.
+func (d *Director) registered(now time.Time, token tokenizer.Token) (*member, bool) {
+	m, ok := d.tokens.Find(now, token)
+	return m, ok && !d.removed.has(m)
 }
 
 // Tick removes expired flows and targets, ends demand windows that are over and requests
@@ -307,4 +313,5 @@
 	d.recheckUnreachable(now)
 	d.removeLapsed(now)
 	d.removed.expire(now)
+	d.tokens.Expire(now)
 }
--- a/director/explain.go
+++ b/director/explain.go
@@ -43,11 +43,13 @@
 	if f != nil && f.pinned != 0 {
 		token = f.pinned
 	}
-	switch m, ok := d.tokens.Find(token); {
+	switch m, ok := d.tokens.Find(now, token); {
 	case token == 0:
 		e.Established = Decision{Action: Drop, Reason: ReasonNoToken}
 	case !ok:
-		e.Established = d.decideRemoved(now, &Packet{Token: token}, token, route)
+		e.Established = Decision{Action: Drop, Reason: ReasonUnknownToken}
+	case d.removed.has(m):
+		e.Established = d.decideRemoved(now, &Packet{Token: token}, token, m, route)
 	case d.mayReset(m, route):
 		e.Established = Decision{Action: Reset, Reason: ReasonTargetUnreachable, Target: &m.Target, Token: token}
 	default:
@@ -60,8 +62,8 @@
 func (d *Director) explainOpening(now time.Time, key uint64, f *flow, service string) Decision {
 	if f != nil {
 		for _, token := range [...]tokenizer.Token{f.pinned, f.openingToken} {
-			if m, ok := d.tokens.Find(token); ok {
-				return forwardOpening(m, ReasonOpeningRepeated)
+			if m, ok := d.registered(now, token); ok {
+				return d.forwardOpening(m, ReasonOpeningRepeated)
 			}
 		}
 	}
@@ -74,7 +76,7 @@
 		m = d.bestRanked(now, key, p, nil, nil)
 	}
 	if m != nil {
-		return forwardOpening(m, ReasonOpening)
+		return d.forwardOpening(m, ReasonOpening)
 	}
 	return Decision{Action: Reset, Reason: ReasonNoTarget}
 }
--- a/director/flows.go
+++ b/director/flows.go
@@ -141,8 +141,11 @@
 	return f.pinned
 }
 
-// hasFlows reports whether a tracked flow is pinned to the token.
-func (t *flowTable) hasFlows(token tokenizer.Token) bool { return t.pinned[token] > 0 }
+// hasFlows reports whether a tracked flow is pinned to a token of the target with this ID.
+func (t *flowTable) hasFlows(id uint64) bool {
+	tokens := tokenizer.TokensOf(id)
+	return t.pinned[tokens[0]]+t.pinned[tokens[1]] > 0
+}
 
 // flowKey returns a hash of the source and destination addresses and ports.
 func flowKey(p *Packet) uint64 {
--- a/director/removed.go
+++ b/director/removed.go
@@ -8,9 +8,8 @@
 
 const (
 	// removedTargetTTL is how long a removed target is remembered, so that packets of its
-	// flows can be answered with a reset. No flow lasts longer than a minute on our users'
-	// platform.
-	removedTargetTTL = 90 * time.Second
+	// flows can be answered with a reset.
+	removedTargetTTL = tokenizer.Retention
 	// lapseGrace is how long a target that wasn't draining may still be alive after its
 	// registration was removed. The registration may have lapsed although the target runs;
 	// the target then registers again within 2 s. Its flows are not reset in this time,
@@ -21,7 +20,7 @@
 // removedTargets holds recently removed targets. Packets of their flows can then be
 // answered with a reset, so that callers need not wait for a timeout.
 type removedTargets struct {
-	byToken map[tokenizer.Token]*removedTarget
+	byID map[uint64]*removedTarget
 }
 
 // removedTarget is a target whose registration was removed.
@@ -33,7 +32,7 @@
 }
 
 func newRemovedTargets() *removedTargets {
-	return &removedTargets{byToken: make(map[tokenizer.Token]*removedTarget)}
+	return &removedTargets{byID: make(map[uint64]*removedTarget)}
 }
 
 // add records a target whose registration was removed at the given time.
@@ -42,34 +41,40 @@
 	if !m.Draining {
 		confirmedAt = at.Add(lapseGrace)
 	}
-	t.byToken[m.token] = &removedTarget{confirmedAt: confirmedAt, removedAt: at, member: m}
+	t.byID[m.ID] = &removedTarget{confirmedAt: confirmedAt, removedAt: at, member: m}
 }
 
-func (t *removedTargets) remove(token tokenizer.Token) { delete(t.byToken, token) }
+func (t *removedTargets) remove(id uint64) { delete(t.byID, id) }
 
 // deferConfirmation moves each confirmedAt before the given time to that time. It is used
 // in an outage of the store, when registrations may lapse although their targets run.
 func (t *removedTargets) deferConfirmation(until time.Time) {
-	for _, r := range t.byToken {
+	for _, r := range t.byID {
 		r.confirmedAt = maxTime(r.confirmedAt, until)
 	}
 }
 
-// find returns the removed target with a token, or nil if there is none, and whether the
-// target counts as gone for good.
-func (t *removedTargets) find(now time.Time, token tokenizer.Token) (m *member, confirmed bool) {
-	r := t.byToken[token]
-	if r == nil {
-		return nil, false
+// find returns the removed target with an ID, or nil if there is none.
+func (t *removedTargets) find(id uint64) *member {
+	if r := t.byID[id]; r != nil {
+		return r.member
 	}
-	return r.member, !now.Before(r.confirmedAt)
+	return nil
+}
+
+// has reports whether a target was removed.
+func (t *removedTargets) has(m *member) bool { return t.find(m.ID) == m }
+
+// confirmed reports whether a removed target counts as gone for good.
+func (t *removedTargets) confirmed(now time.Time, m *member) bool {
+	return !now.Before(t.byID[m.ID].confirmedAt)
 }
 
 // expire forgets the targets that were removed more than removedTargetTTL ago.
 func (t *removedTargets) expire(now time.Time) {
-	for token, r := range t.byToken {
+	for id, r := range t.byID {
 		if now.Sub(r.removedAt) > removedTargetTTL {
-			delete(t.byToken, token)
+			delete(t.byID, id)
 		}
 	}
 }
--- a/director/unanswered.go
+++ b/director/unanswered.go
@@ -25,7 +25,7 @@
 		if f == nil || f.pinned != 0 || !f.openingSentAt.Equal(d.openings[n].at) || f.lastSeen.After(f.openingSentAt) {
 			continue
 		}
-		if m, ok := d.tokens.Find(f.openingToken); ok && !m.health.answeredSince(f.openingSentAt) {
+		if m, ok := d.registered(now, f.openingToken); ok && !m.health.answeredSince(f.openingSentAt) {
 			d.requestCheck(now, m)
 		}
 	}
--- a/director/view.go
+++ b/director/view.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"trefoilspring.example/trefoilspring/limiter"
-	"trefoilspring.example/trefoilspring/tokenizer"
 )
 
 // Backend is a service that a route sends flows to, with its weight.
@@ -62,7 +61,6 @@
 // member is a registered target with the balancer's own observations of it.
 type member struct {
 	Target
-	token     tokenizer.Token
 	coldUntil time.Time
 	// lapsed reports whether the registration was removed during an outage of the store.
 	lapsed bool
@@ -109,7 +107,8 @@
 func (d *Director) Version() (uint64, bool) { return d.version, d.configured }
 
 // SetTarget adds a registered target, or updates it if it is known. A target under the same
-// name with another Started, Service or ID replaces the known one.
+// name with another Started, Service or ID replaces the known one. A target whose ID another
+// registered target has is ignored.
 func (d *Director) SetTarget(now time.Time, t Target) {
 	old := d.byName[t.Name]
 	if old != nil && old.Started == t.Started && old.Service == t.Service && old.ID == t.ID {
@@ -119,17 +118,20 @@
 		old.lapsed = false
 		return
 	}
+	if old != nil && old.ID != t.ID {
+		d.removeMember(now, old)
+		old = nil
+	}
+	if old == nil && d.idTaken(t.ID) {
+		return
+	}
 	if old != nil {
 		d.pools[old.Service].remove(old)
 	}
 	m := &member{Target: t, coldUntil: now.Add(t.ColdFor), zone: d.zoneHealthOf(t.AvailabilityZone)}
-	m.token = d.tokens.Add(t.ID, m)
+	d.tokens.Add(now, t.ID, m)
 	d.byName[t.Name] = m
-	d.removed.remove(m.token)
-	if m.token == 0 {
-		// A target with a lower ID has the same token, so this one can't get flows.
-		return
-	}
+	d.removed.remove(t.ID)
 	p := d.pools[t.Service]
 	if p == nil {
 		p = &pool{}
@@ -138,6 +140,12 @@
 	p.members = append(p.members, m)
 }
 
+// idTaken reports whether a registered target has an ID.
+func (d *Director) idTaken(id uint64) bool {
+	m, known := d.tokens.Get(id)
+	return known && !d.removed.has(m)
+}
+
 // RemoveTarget removes a target whose registration was removed or can't be read. During an
 // outage of the store (SetOutage) the registration may have lapsed only because the store
 // was unreachable. A target that isn't draining is then kept until the outage ends.
@@ -155,13 +163,10 @@
 
 func (d *Director) removeMember(now time.Time, m *member) {
 	delete(d.byName, m.Name)
-	if m.token == 0 {
-		return
-	}
 	d.pools[m.Service].remove(m)
-	d.tokens.Remove(m.ID)
+	d.tokens.Leave(now, m.ID)
 	d.removed.add(m, now)
-	if !m.Draining && (d.pendingChecks < maxLapseChecks || d.flows.hasFlows(m.token)) {
+	if !m.Draining && (d.pendingChecks < maxLapseChecks || d.flows.hasFlows(m.ID)) {
 		// The registration may have lapsed although the target runs. A check tells, while
 		// callers may be waiting for the target's answers.
 		d.requestCheck(now, m)
--- a/director/zones.go
+++ b/director/zones.go
@@ -81,7 +81,7 @@
 		return
 	}
 	for n, other := range d.reachableNeighbours(m) {
-		if n < zoneSampleSize || became && d.flows.hasFlows(other.token) {
+		if n < zoneSampleSize || became && d.flows.hasFlows(other.ID) {
 			d.requestCheck(now, other)
 		}
 	}
