--- a/balancer/peers_test.go
+++ b/balancer/peers_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -46,3 +47,56 @@
 	_, plain := requestView("")
 	is.True(len(plain) > 5*len(compressed))
 }
+
+// Another writer's entries among the balancers' registrations must neither pass for the
+// store nor make this balancer depend on a peer that doesn't exist.
+func TestInvalidRegistrationsOfBalancersAreIgnored(t *testing.T) {
+	is := is.New(t)
+	s := &store{}
+	s.set("op/config", configurationText)
+	invalid := map[string]string{
+		"no-address":       `{"availability-zone":"a","address":"","strength":2}`,
+		"no-port":          `{"availability-zone":"a","address":"127.0.0.1:0","strength":2}`,
+		"port-too-large":   `{"availability-zone":"a","address":"127.0.0.1:65536","strength":2}`,
+		"no-host":          `{"availability-zone":"a","address":"0.0.0.0:9000","strength":2}`,
+		"strong":           `{"availability-zone":"a","address":"127.0.0.1:9","strength":1000000000}`,
+		"strong-float":     `{"availability-zone":"a","address":"127.0.0.1:9","strength":1e300}`,
+		"weak":             `{"availability-zone":"a","address":"127.0.0.1:9","strength":-1}`,
+		"no-zone":          `{"address":"127.0.0.1:9","strength":2}`,
+		"deeply-nested":    strings.Repeat("[", 20000) + strings.Repeat("]", 20000),
+		"another-language": "<xml/>",
+	}
+	for name, value := range invalid {
+		s.set("trefoilspring/balancers/"+name, value)
+	}
+	n := newNode(t, "a-1", s)
+	n.start(t)
+	eventually(t, "view", func() bool { return n.log.contains("first view") })
+	for name := range invalid {
+		is.True(n.log.contains(`"key":"trefoilspring/balancers/` + name + `"`))
+		is.True(!n.log.contains(`"peer":"` + name + `"`))
+	}
+	s.set("op/config", strings.Replace(configurationText, `"version":3`, `"version":4`, 1))
+	eventually(t, "next configuration", func() bool { return n.log.contains(`"configuration in force"`) })
+}
+
+// A registration that another writer overwrote no longer names a balancer.
+func TestOverwrittenRegistrationOfABalancerIsDropped(t *testing.T) {
+	is := is.New(t)
+	s := &store{}
+	s.set("op/config", configurationText)
+	s.set("trefoilspring/balancers/b-1", `{"availability-zone":"b","address":"127.0.0.1:9","strength":0}`)
+	n := newNode(t, "a-1", s)
+	n.start(t)
+	awaitPeers := func(count string) {
+		eventually(t, count+" peers", func() bool {
+			_, text := get(n.settings.MetricsAddress, "/metrics")
+			return strings.Contains(text, "trefoilspring_peers "+count+"\n")
+		})
+	}
+	awaitPeers("2") // b-1 and this balancer itself
+	s.set("trefoilspring/balancers/b-1", "[]")
+	awaitPeers("1")
+	_, text := get(n.settings.MetricsAddress, "/metrics")
+	is.True(strings.Contains(text, "trefoilspring_entry_errors_total 1"))
+}
--- a/balancer/view.go
+++ b/balancer/view.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"log/slog"
 	"net/http"
+	"net/netip"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -102,8 +103,7 @@
 	}
 	change, relevant, err := b.directory.Decode(item)
 	if err != nil {
-		b.metrics.entryErrors.Inc()
-		b.log.Warn("entry of the store can't be used", "key", item.Key, "revision", item.Revision, "cause", err.Error())
+		b.logInvalidEntry(now, item, err)
 	}
 	if !relevant {
 		return
@@ -174,6 +174,8 @@
 	if err != nil {
 		return nil, err
 	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	peers := make([]follower.Peer, 0, len(u.Items))
 	for _, item := range u.Items {
 		if name, ok := parseBalancerKey(item.Key); ok {
@@ -185,16 +187,56 @@
 	return peers, nil
 }
 
-// decodePeer decodes a balancer's registration. It logs an invalid one and returns false.
+// decodePeer decodes a balancer's registration. It counts and logs an invalid one and
+// returns false. b.mu must be held.
 func (b *Balancer) decodePeer(name string, item replicator.Item) (follower.Peer, bool) {
 	var r registration
-	if err := json.Unmarshal(item.Value, &r); err != nil {
-		b.log.Warn("cannot decode registration of balancer", "peer", name, "cause", err.Error())
+	err := json.Unmarshal(item.Value, &r)
+	if err == nil {
+		err = r.validate()
+	}
+	if err != nil {
+		b.logInvalidEntry(time.Now(), item, err)
 		return follower.Peer{}, false
 	}
 	return follower.Peer{Name: name, AvailabilityZone: r.AvailabilityZone, Address: r.Address, Strength: r.Strength}, true
 }
 
+// validate returns an error unless a balancer may have written the registration. Without
+// an address a peer would pass for the store, and a strength out of range would make all
+// other balancers depend on it.
+func (r registration) validate() error {
+	address, err := netip.ParseAddrPort(r.Address)
+	switch {
+	case err != nil:
+		return errors.Wrap(err, "reading the address")
+	case address.Port() == 0 || address.Addr().IsUnspecified():
+		return errors.Newf("%s is not the address of a balancer", address)
+	case r.Strength < 0 || r.Strength > follower.MaxStrength:
+		return errors.Newf("strength %d is not between 0 and %d", r.Strength, follower.MaxStrength)
+	case r.AvailabilityZone == "":
+		return errors.New("the availability zone is missing")
+	}
+	return nil
+}
+
+// maxCauseBytes limits the length of a cause in a log line. A cause may quote the value of
+// an entry, which may be as long as the store allows.
+const maxCauseBytes = 200
+
+// logInvalidEntry counts an entry of the store that can't be used, and logs it within the
+// limit for changes. b.mu must be held.
+func (b *Balancer) logInvalidEntry(now time.Time, item replicator.Item, cause error) {
+	b.metrics.entryErrors.Inc()
+	log := b.log
+	if !b.mayLogChange(now, &log) {
+		return
+	}
+	text := cause.Error()
+	log.Warn("entry of the store can't be used", "key", item.Key, "revision", item.Revision,
+		"cause", text[:min(len(text), maxCauseBytes)])
+}
+
 // applyPeer applies a changed registration of a balancer. b.mu must be held.
 func (b *Balancer) applyPeer(now time.Time, name string, item replicator.Item) {
 	log := b.log
@@ -203,11 +245,9 @@
 		if b.mayLogChange(now, &log) {
 			log.Info("balancer left", "peer", name)
 		}
+	} else if p, ok := b.decodePeer(name, item); !ok {
+		delete(b.view.peers, name) // the peer's own registration was overwritten
 	} else {
-		p, ok := b.decodePeer(name, item)
-		if !ok {
-			return
-		}
 		b.view.peers[name] = p
 		if b.view.usable && b.mayLogChange(now, &log) {
 			log.Info("balancer registered", "peer", name, "zone", p.AvailabilityZone)
--- a/follower/core.go
+++ b/follower/core.go
@@ -65,8 +65,8 @@
 	AvailabilityZone string
 	// Address is the host and port at which the balancer answers its peers.
 	Address string
-	// Strength is the balancer's capacity to serve as a reader, from 0 to 2; see
-	// StrengthOf.
+	// Strength is the balancer's capacity to serve as a reader, from 0 to MaxStrength;
+	// see StrengthOf.
 	Strength int
 }
 
@@ -77,15 +77,15 @@
 	// 2 Mbit/s to 40 balancers that query the reader.
 	readerMbps  = 50
 	readerCores = 0.1
-	// maxStrength caps the strength: above it, more capacity gives no precedence.
-	maxStrength = 2
+	// MaxStrength caps the strength: above it, more capacity gives no precedence.
+	MaxStrength = 2
 )
 
 // StrengthOf returns the strength, from 0 to 2, of a balancer that has a link of
 // linkMbps Mbit/s and a processor share of cores: how many times over it has the
 // capacity that a reader needs.
 func StrengthOf(linkMbps, cores float64) int {
-	return int(min(linkMbps/readerMbps, cores/readerCores, maxStrength))
+	return int(min(linkMbps/readerMbps, cores/readerCores, MaxStrength))
 }
 
 // Source is a source of updates: a peer, or the store if Peer is the zero Peer.
