director: a port that is used again begins another flow

Cause: an opening packet from the address and port of a tracked flow counted as a copy of that flow's opening. The new flow stayed pinned to the earlier flow's target: its first request was reset, or went to a target that had left, within four seconds of the earlier flow. An opening with another sequence number now begins a new flow. A balancer that saw no opening of the earlier flow tells by the distance in sequence numbers.

Ruled out: a late second answer of the earlier target reaches the caller directly, and its token can't move the new flow, since a flow is pinned by its first packet.

TestPortThatIsUsedAgain... failed on: the new flow's request was reset.

--- a/director/director.go
+++ b/director/director.go
@@ -246,6 +246,10 @@
 func (d *Director) decideOpening(now time.Time, p *Packet, route Route) Decision {
 	key := flowKey(p)
 	f := d.flows.find(key)
+	if f != nil && f.isSucceededBy(p) {
+		d.flows.remove(key, f)
+		f = nil
+	}
 	if f == nil {
 		m := d.choose(now, key, route, nil)
 		if m == nil {
--- a/director/flows.go
+++ b/director/flows.go
@@ -29,6 +29,10 @@
 	// openingSentAt is when it was first sent to that target.
 	openingToken  tokenizer.Token
 	openingSentAt time.Time
+	// openingSequence is the sequence number of the opening packet. It is valid if
+	// openingSeen is true.
+	openingSequence uint32
+	openingSeen     bool
 	// pinned is the token of the flow's first packet that carried one, or 0 before that
 	// packet. It names the target whose answer the caller received first.
 	pinned tokenizer.Token
@@ -41,6 +45,19 @@
 	acknowledged uint32
 }
 
+// maxFlowBytes bounds the distance in sequence numbers between a flow's opening packet and
+// its data. Callers send requests of a few kilobytes.
+const maxFlowBytes = 1 << 24
+
+// isSucceededBy reports whether an opening packet with the flow's addresses and ports begins
+// another flow: the caller has ended this flow and uses its port again.
+func (f *flow) isSucceededBy(opening *Packet) bool {
+	if f.openingSeen {
+		return opening.Sequence != f.openingSequence
+	}
+	return f.sequence != 0 && f.sequence-opening.Sequence > maxFlowBytes
+}
+
 // observation is what a packet shows of its flow and of the flow's target.
 type observation struct {
 	// progress reports whether the packet acknowledges an answer of the target that no
@@ -107,6 +124,9 @@
 		return nil
 	}
 	f := &flow{source: p.Source, destination: p.Destination, lastSeen: now}
+	if p.Opening {
+		f.openingSequence, f.openingSeen = p.Sequence, true
+	}
 	t.byKey[key] = f
 	return f
 }
