balancer: know the view's age after the process or its VM stood still

Cause: the age of the view was measured by a clock that stops while a VM is suspended, and an answer that had waited in the socket counted as new. A balancer that woke up passed for ready, told its peers that an old view was recent, and assumed an outage of the store after a freeze: it kept targets that had left meanwhile for another 2.5 s and sent new flows to them.

The view's age is measured by the boot clock, an answer ages by what it took beyond its wait and half a second, and the time for which the process itself stood still is no sign of an outage of the store.

Ruled out: changes by the wall clock (it steps), and holding packets back until the next answer (a flow token names its target whatever the view's age, and a target ignores packets that aren't meant for it).

TestSuspendedBalancer... and TestAnswerFromBefore... need the new clock as a seam. With an outage assumed as before, TestTargetThatLeftDuringTheSuspension... fails.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -105,6 +105,9 @@
 	LoadSettings func() (Settings, error)
 	// Hangup triggers an immediate reload of the settings. It is set before Run is called.
 	Hangup <-chan os.Signal
+	// ViewClock returns the time by which the age of the view is measured. It goes on while
+	// the VM is suspended. New sets it; a test may replace it before Run is called.
+	ViewClock func() time.Time
 
 	settings   Settings
 	fabric     Fabric
@@ -136,6 +139,7 @@
 		fabric:    fabric,
 		directory: directory,
 		log:       log.With("balancer", settings.Name),
+		ViewClock: newViewClock(),
 		director:  director.New(xxhash.Sum64String(settings.Name), settings.AvailabilityZone),
 	}
 	b.director.SetRegions(settings.Regions)
@@ -204,6 +208,7 @@
 			return nil
 		case now := <-ticker.C:
 			b.mu.Lock()
+			b.view.pulse.beat(b.ViewClock())
 			b.director.Tick(now)
 			checks := b.director.TakeChecks()
 			b.mu.Unlock()
@@ -239,13 +244,14 @@
 // fetch requests an update from a source, the store or a peer, and records the duration
 // and the error in the metrics.
 func (b *Balancer) fetch(ctx context.Context, s follower.Source, after uint64, wait time.Duration) (replicator.Update, error) {
-	start := time.Now()
+	start, requested := time.Now(), b.ViewClock()
 	fetchFrom, kind := b.fetchPeer, sourcePeer
 	if s.IsStore() {
 		fetchFrom, kind = b.fetchStore, sourceStore
 	}
 	u, err := fetchFrom(ctx, s, after, wait)
 	b.metrics.recordFetch(kind, start, err)
+	u.Age += addedAge(b.ViewClock().Sub(requested), wait)
 	return u, err
 }
 
--- a/balancer/explain.go
+++ b/balancer/explain.go
@@ -31,14 +31,14 @@
 const stateReady = "ready"
 
 func (b *Balancer) status(now time.Time) explainer.Status {
-	state := b.notReadyReason(now)
+	state := b.notReadyReason()
 	if state == "" {
 		state = stateReady
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	version, _ := b.director.Version()
-	age, _ := b.view.replica.Age(now)
+	age, _ := b.view.replica.Age(b.ViewClock())
 	health := b.director.HealthSummary(now)
 	status := explainer.Status{
 		Name:             b.settings.Name,
--- a/balancer/fixture_test.go
+++ b/balancer/fixture_test.go
@@ -31,6 +31,8 @@
 	replica  replicator.Replica
 	revision uint64
 	down     bool
+	// waiting counts the queries that have begun to wait for a change.
+	waiting atomic.Int64
 }
 
 var errDown = errors.New("the store is down")
@@ -63,7 +65,7 @@
 // fetch returns the changes after a revision and waits up to wait for one.
 func (s *store) fetch(ctx context.Context, after uint64, wait time.Duration) (replicator.Update, error) {
 	end := time.Now().Add(wait)
-	for {
+	for first := true; ; first = false {
 		s.mu.Lock()
 		u := s.replica.Since(after, time.Now())
 		down, changed := s.down, s.replica.ChangedSince(after)
@@ -75,6 +77,9 @@
 		case changed || ctx.Err() != nil || !time.Now().Before(end):
 			return u, ctx.Err()
 		}
+		if first {
+			s.waiting.Add(1)
+		}
 		time.Sleep(5 * time.Millisecond)
 	}
 }
--- a/balancer/lifecycle.go
+++ b/balancer/lifecycle.go
@@ -35,7 +35,7 @@
 // if the balancer is ready, else status 503 and the reason.
 func (b *Balancer) serveReadiness(ctx context.Context) error {
 	return serveHTTP(ctx, b.settings.ReadyAddress, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		if reason := b.notReadyReason(time.Now()); reason != "" {
+		if reason := b.notReadyReason(); reason != "" {
 			http.Error(w, reason, http.StatusServiceUnavailable)
 			return
 		}
@@ -45,7 +45,7 @@
 
 // notReadyReason returns the reason why the balancer should receive no packets, or an
 // empty string if it is ready.
-func (b *Balancer) notReadyReason(now time.Time) string {
+func (b *Balancer) notReadyReason() string {
 	if b.stopping.Load() {
 		return "stopping"
 	}
@@ -55,7 +55,7 @@
 	if b.follower.ZoneIsolated() && b.director.HasLocalTargets() {
 		maxAge = maxIsolatedViewAge
 	}
-	age, known := b.view.replica.Age(now)
+	age, known := b.view.replica.Age(b.ViewClock())
 	_, configured := b.director.Version()
 	switch {
 	case !known || !configured:
--- a/balancer/metrics.go
+++ b/balancer/metrics.go
@@ -51,7 +51,7 @@
 	set.NewGauge("trefoilspring_view_age_seconds", func() float64 {
 		b.mu.Lock()
 		defer b.mu.Unlock()
-		age, _ := b.view.replica.Age(time.Now())
+		age, _ := b.view.replica.Age(b.ViewClock())
 		return age.Seconds()
 	})
 	set.NewGauge("trefoilspring_view_revision", func() float64 {
--- a/balancer/packets.go
+++ b/balancer/packets.go
@@ -171,18 +171,18 @@
 		l.balancer.metrics.linesLeftOut.Inc()
 		return
 	}
-	l.writeLogLine(now, message, request, suppressed, packet, d)
+	l.writeLogLine(message, request, suppressed, packet, d)
 }
 
 // writeLogLine logs a decision with all attributes. suppressed is the number of lines of
 // the same kind that were left out since the last one was written.
-func (l *packetLoop) writeLogLine(now time.Time, message, request string, suppressed int, packet *director.Packet, d director.Decision) {
+func (l *packetLoop) writeLogLine(message, request string, suppressed int, packet *director.Packet, d director.Decision) {
 	b := l.balancer
 	if request == "" && len(packet.Data) > 0 {
 		request = b.fabric.RequestID(packet.Data)
 	}
 	version, _ := b.director.Version()
-	age, _ := b.view.replica.Age(now)
+	age, _ := b.view.replica.Age(b.ViewClock())
 	fields := []any{
 		"decision", d.Action.String(), "reason", string(d.Reason), "caller", packet.Source.String(), "route", packet.Destination.String(),
 		"version", version, "revision", b.view.replica.Revision(), "view-age-ms", age.Milliseconds(),
--- a/balancer/view.go
+++ b/balancer/view.go
@@ -45,6 +45,8 @@
 	changeLimiter *logger.Limiter
 	// source names the store or the peer that the last update came from.
 	source string
+	// pulse measures for how long the process stood still between two updates.
+	pulse pulse
 }
 
 func (v *view) init() {
@@ -64,11 +66,17 @@
 	defer b.mu.Unlock()
 	v := &b.view
 	v.source = s.String()
-	if age, known := v.replica.Age(now); known && age > minOutageAge {
-		b.director.SetOutage(now.Add(reregistrationGrace))
-		b.log.Warn("view was out of date", "age-ms", age.Milliseconds(), "source", s.String())
+	viewNow := b.ViewClock()
+	stoodStill := v.pulse.take(viewNow)
+	if age, known := v.replica.Age(viewNow); known && age > minOutageAge {
+		// While this balancer stood still, the store may well have served the targets.
+		if age-stoodStill > minOutageAge {
+			b.director.SetOutage(now.Add(reregistrationGrace))
+		}
+		b.log.Warn("view was out of date", "age-ms", age.Milliseconds(),
+			"stood-still-ms", stoodStill.Milliseconds(), "source", s.String())
 	}
-	changed := v.replica.Merge(u, now)
+	changed := v.replica.Merge(u, viewNow)
 	for _, item := range changed {
 		b.apply(now, item, s)
 	}
@@ -271,7 +279,7 @@
 		b.mu.Lock()
 		if b.view.replica.ChangedSince(after) {
 			defer b.mu.Unlock()
-			return b.view.replica.Since(after, time.Now())
+			return b.view.replica.Since(after, b.ViewClock())
 		}
 		changed := b.view.changed
 		b.mu.Unlock()
@@ -283,7 +291,7 @@
 		}
 		b.mu.Lock()
 		defer b.mu.Unlock()
-		return b.view.replica.Since(after, time.Now())
+		return b.view.replica.Since(after, b.ViewClock())
 	}
 }
 
