balancer: renew the lease of an earlier run's registration

Cause: a balancer that starts again made two writes to the store (a lease, a key), though its registration was still there. After a loss of power 295 balancers make 590 writes in half a second, while 600 targets register again too; at 1,251 balancers that is near the store's 3,200 writes a second. A registration names its lease now; a balancer that finds its own in the listing of its start renews the lease, which is a read at a tenth of the price. A lease that has ended, another address or a failed listing lead to a new registration as before.

Ruled out: fewer readers in a zone (a change reaches half of the zone late if one fails), longer waits at the store (the view's age tells an outage from 2 s on), and a longer lease (a dead balancer counts longer among those that share cold rates).

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -122,6 +122,8 @@
 
 	// viewReady is closed when a configuration first comes into force.
 	viewReady chan struct{}
+	// earlierLease passes the lease of an earlier run's registration to the registrar, or 0.
+	earlierLease chan uint64
 
 	responses responseCache
 	follower  *follower.Follower
@@ -144,6 +146,7 @@
 	}
 	b.director.SetRegions(settings.Regions)
 	b.viewReady = make(chan struct{})
+	b.earlierLease = make(chan uint64, 1)
 	b.checkQueue = make(chan director.Check, checkQueueSize)
 	b.seeds.Store(&settings.Seeds)
 	b.view.init()
--- a/balancer/fixture_test.go
+++ b/balancer/fixture_test.go
@@ -33,6 +33,9 @@
 	down     bool
 	// waiting counts the queries that have begun to wait for a change.
 	waiting atomic.Int64
+	// leases counts the leases, which are numbered from 1. Those up to endedLeases have
+	// ended. renewals counts the renewals.
+	leases, endedLeases, renewals atomic.Int64
 }
 
 var errDown = errors.New("the store is down")
@@ -98,8 +101,13 @@
 			s.set(key, string(value))
 			return nil
 		},
-		Lease: func(context.Context, time.Duration) (uint64, error) { return 1, s.downError() },
-		Renew: func(context.Context, uint64) (bool, error) { return true, s.downError() },
+		Lease: func(context.Context, time.Duration) (uint64, error) {
+			return uint64(s.leases.Add(1)), s.downError()
+		},
+		Renew: func(_ context.Context, lease uint64) (bool, error) {
+			s.renewals.Add(1)
+			return int64(lease) > s.endedLeases.Load(), s.downError()
+		},
 	}
 }
 
--- a/balancer/registrar.go
+++ b/balancer/registrar.go
@@ -23,13 +23,26 @@
 type registrar struct {
 	balancer *Balancer
 	lease    uint64
+	// inherited is true until a lease of an earlier run was renewed or found to have ended.
+	// The view may not have arrived by then.
+	inherited bool
 }
 
 func newRegistrar(b *Balancer) *registrar { return &registrar{balancer: b} }
 
 // run keeps the balancer registered until ctx ends. After that, the store removes the
 // registration when the lease expires.
+//
+// Load pattern: hundreds of balancers start again after a loss of power, while all targets
+// register again too. A balancer whose registration is still in the store renews its lease,
+// which is a read, instead of making two writes.
 func (r *registrar) run(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+		return nil
+	case r.lease = <-r.balancer.earlierLease:
+	}
+	r.inherited = r.lease != 0
 	for ctx.Err() == nil {
 		wait := leaseRenewInterval
 		if err := r.renewOrRegister(ctx); err != nil && ctx.Err() == nil {
@@ -53,7 +66,9 @@
 		if err != nil {
 			return err
 		}
-		if kept && b.isRegistered() {
+		inherited := r.inherited
+		r.inherited = false
+		if kept && (inherited || b.isRegistered()) {
 			return nil
 		}
 		b.log.Info("registration lost; registering again", "lease", r.lease)
@@ -73,6 +88,7 @@
 		AvailabilityZone: self.AvailabilityZone,
 		Address:          self.Address,
 		Strength:         self.Strength,
+		Lease:            lease,
 	})
 	if err != nil {
 		return errors.Wrap(err, "encoding the registration")
--- a/balancer/view.go
+++ b/balancer/view.go
@@ -164,6 +164,8 @@
 	Address string `json:"address"`
 	// Strength is the balancer's follower.Peer.Strength.
 	Strength int `json:"strength"`
+	// Lease is the lease of the key, or 0 if an earlier release wrote the registration.
+	Lease uint64 `json:"lease,omitempty"`
 }
 
 // parseBalancerKey returns the balancer's name from the key of its registration. It
@@ -175,9 +177,12 @@
 	return key[len(balancerKeyPrefix):], true
 }
 
-// listPeers returns the balancers that are registered in the store. It is used before the
-// first view arrives.
+// listPeers returns the balancers that are registered in the store. It is called once,
+// before the first view arrives, and passes the lease of this balancer's own registration,
+// or 0, to the registrar.
 func (b *Balancer) listPeers(ctx context.Context) ([]follower.Peer, error) {
+	var lease uint64
+	defer func() { b.earlierLease <- lease }()
 	u, err := b.directory.List(ctx, balancerKeyPrefix)
 	if err != nil {
 		return nil, err
@@ -186,10 +191,17 @@
 	defer b.mu.Unlock()
 	peers := make([]follower.Peer, 0, len(u.Items))
 	for _, item := range u.Items {
-		if name, ok := parseBalancerKey(item.Key); ok {
-			if p, ok := b.decodePeer(name, item); ok {
-				peers = append(peers, p)
-			}
+		name, ok := parseBalancerKey(item.Key)
+		if !ok {
+			continue
+		}
+		p, r, ok := b.decodePeer(name, item)
+		if !ok {
+			continue
+		}
+		peers = append(peers, p)
+		if p == b.self() {
+			lease = r.Lease
 		}
 	}
 	return peers, nil
@@ -197,7 +209,7 @@
 
 // decodePeer decodes a balancer's registration. It counts and logs an invalid one and
 // returns false. b.mu must be held.
-func (b *Balancer) decodePeer(name string, item replicator.Item) (follower.Peer, bool) {
+func (b *Balancer) decodePeer(name string, item replicator.Item) (follower.Peer, registration, bool) {
 	var r registration
 	err := json.Unmarshal(item.Value, &r)
 	if err == nil {
@@ -205,9 +217,9 @@
 	}
 	if err != nil {
 		b.logInvalidEntry(time.Now(), item, err)
-		return follower.Peer{}, false
+		return follower.Peer{}, r, false
 	}
-	return follower.Peer{Name: name, AvailabilityZone: r.AvailabilityZone, Address: r.Address, Strength: r.Strength}, true
+	return follower.Peer{Name: name, AvailabilityZone: r.AvailabilityZone, Address: r.Address, Strength: r.Strength}, r, true
 }
 
 // validate returns an error unless a balancer may have written the registration. Without
@@ -253,7 +265,7 @@
 		if b.mayLogChange(now, &log) {
 			log.Info("balancer left", "peer", name)
 		}
-	} else if p, ok := b.decodePeer(name, item); !ok {
+	} else if p, _, ok := b.decodePeer(name, item); !ok {
 		delete(b.view.peers, name) // the peer's own registration was overwritten
 	} else {
 		b.view.peers[name] = p
