balancer: leave a cut-off zone without targets sooner

Its targets get no flows and those of other zones can't be reached, so nobody in the zone is served until its balancers stop being ready, when their view is 3 s old, and the routers send their callers to other zones. A zone without targets now leaves from 2 s on: its callers depend on other zones anyway, whose balancers serve them as well.

Ruled out: readiness by checks of targets (a balancer of this site sees nine requests a second, so it takes about as long to find four zones unreachable), and less than 2 s (the view of a balancer with working sources gets that old).

TestBalancerOfAZoneWithoutTargets... fails with 3 s.

--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -131,6 +131,28 @@
 	n.awaitReadiness(t, 200)
 }
 
+// Load pattern: a zone that operators have taken out is cut off. Its callers depend on targets
+// that its balancers can't reach, and wait until the routers send them to other zones.
+func TestBalancerOfAZoneWithoutTargetsIsNotReadySooner(t *testing.T) {
+	const age = 2200 * time.Millisecond
+	for _, out := range []bool{false, true} {
+		is := is.New(t)
+		s := &store{}
+		s.set("op/config", configurationText)
+		s.set("servers/i-00ab", strings.Replace(registration(newTargetServer(t).address), `"zone":"b"`, `"zone":"a"`, 1))
+		if out {
+			s.set("op/evacuate/a", "{}")
+		}
+		n, advance := newAgeingNode(t, s)
+		n.start(t)
+		n.awaitReadiness(t, 200)
+		s.setDown(true)
+		advance(age)
+		status, text := get(n.settings.ReadyAddress, "/")
+		is.Equal(status == 503 && strings.Contains(text, "out of date"), out)
+	}
+}
+
 // Guards against a zone without ready balancers when it is cut off from the store. Its
 // balancers find that none of them has a newer view and stay ready, since balancers of
 // other zones may be unable to reach its targets.
--- a/balancer/lifecycle.go
+++ b/balancer/lifecycle.go
@@ -18,6 +18,11 @@
 	// these targets. While the store refuses requests of balancers, the strictest
 	// requirement is that a configuration is in force 15 s after it was accepted.
 	maxIsolatedViewAge = 12 * time.Second
+	// maxRemoteViewAge replaces maxReadyViewAge if the zone has no targets, for example
+	// because operators have taken it out. Its callers then depend on other zones, which the
+	// zone's balancers may be cut off from like from the store, and balancers of other zones
+	// serve them at least as well. The view of a balancer with working sources is younger.
+	maxRemoteViewAge = minOutageAge
 	// routerReactionTime is the time until the routers stop sending to a balancer that is
 	// not ready: two failed checks that take 0.5 s each, and 0.5 s between them.
 	routerReactionTime = 1500 * time.Millisecond
@@ -52,7 +57,10 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	maxAge := maxReadyViewAge
-	if b.follower.ZoneIsolated() && b.director.HasLocalTargets() {
+	switch {
+	case !b.director.HasLocalTargets():
+		maxAge = maxRemoteViewAge
+	case b.follower.ZoneIsolated():
 		maxAge = maxIsolatedViewAge
 	}
 	age, known := b.view.replica.Age(b.ViewClock())
--- a/balancer/suspended_test.go
+++ b/balancer/suspended_test.go
@@ -19,11 +19,20 @@
 // newSuspendableNode returns a node and a function that makes it appear as if its VM had
 // been suspended: time has passed, but the clock of time.Now hasn't counted it.
 func newSuspendableNode(t *testing.T, s *store) (*node, func()) {
+	t.Helper()
+	n, advance := newAgeingNode(t, s)
+	return n, func() { advance(suspendedTime) }
+}
+
+// newAgeingNode returns a node whose view doesn't age, and a function that makes the view
+// appear older.
+func newAgeingNode(t *testing.T, s *store) (*node, func(time.Duration)) {
 	t.Helper()
 	n := newNode(t, "n1", s)
-	var suspended atomic.Int64
-	n.balancer.ViewClock = func() time.Time { return time.Now().Round(0).Add(time.Duration(suspended.Load())) }
-	return n, func() { suspended.Add(int64(suspendedTime)) }
+	began := time.Now()
+	var added atomic.Int64
+	n.balancer.ViewClock = func() time.Time { return began.Add(time.Duration(added.Load())) }
+	return n, func(by time.Duration) { added.Add(int64(by)) }
 }
 
 // viewAge returns the age of the view that a balancer tells its peers.
