standin: open the streams of a caller at stated times

The callers of TestDeadAndColdTargetsWithoutProbes open 1,100 streams in 5.5 of their 6 s by sleeping 5 ms after each. Beside busy processes each sleep is longer, so fewer were opened than the test states. The times are absolute now; a delayed process catches up.

--- a/standin/requester/stream.go
+++ b/standin/requester/stream.go
@@ -27,9 +27,12 @@
 // returns an error if the journal fails.
 func (c *Requester) maintainStreams(ctx context.Context, load Load) error {
 	var group errgroup.Group
+	start := time.Now()
 	for n := range load.Streams {
+		// The times don't depend on when the earlier streams were opened, so a caller
+		// process that was delayed catches up.
+		sleep(ctx, time.Until(start.Add(time.Duration(n)*streamStartInterval)))
 		group.Go(func() error { return c.maintainStream(ctx, load, n) })
-		sleep(ctx, streamStartInterval)
 	}
 	return group.Wait()
 }
