--- a/balancer/registrar_test.go
+++ b/balancer/registrar_test.go
@@ -9,6 +9,17 @@
 	"trefoilspring.example/trefoilspring/platform"
 )
 
+// newRegisteredNode returns a node that has registered, and its store.
+func newRegisteredNode(t *testing.T) (*node, *store) {
+	t.Helper()
+	s := &store{}
+	s.set("op/config", configurationText)
+	n := newNode(t, "n1", s)
+	n.start(t)
+	eventually(t, "registration", func() bool { return n.log.contains("balancer registered") })
+	return n, s
+}
+
 // restart ends a node and starts another one with the same settings.
 func restart(t *testing.T, n *node, s *store) *node {
 	t.Helper()
@@ -24,11 +35,7 @@
 // and no write.
 func TestRestartedBalancerKeepsItsRegistration(t *testing.T) {
 	is := is.New(t)
-	s := &store{}
-	s.set("op/config", configurationText)
-	n := newNode(t, "n1", s)
-	n.start(t)
-	eventually(t, "registration", func() bool { return n.log.contains("balancer registered") })
+	n, s := newRegisteredNode(t)
 	is.Equal(s.leases.Load(), int64(1))
 	again := restart(t, n, s)
 	again.awaitReadiness(t, 200)
@@ -39,11 +46,7 @@
 // The registration of an earlier run ends with its lease.
 func TestRestartedBalancerRegistersAgainIfTheLeaseHasEnded(t *testing.T) {
 	is := is.New(t)
-	s := &store{}
-	s.set("op/config", configurationText)
-	n := newNode(t, "n1", s)
-	n.start(t)
-	eventually(t, "registration", func() bool { return n.log.contains("balancer registered") })
+	n, s := newRegisteredNode(t)
 	s.endedLeases.Store(1)
 	again := restart(t, n, s)
 	again.awaitReadiness(t, 200)
