balancer: tests wait for a registration by the gauge of peers

It waited for the line 'balancer registered', which isn't written for what the first view already holds. With the first listing delayed by 300 ms the test failed in the same way each time; with the gauge it passes. Four tests wait by the gauge now.

--- a/balancer/fixture_test.go
+++ b/balancer/fixture_test.go
@@ -195,6 +195,15 @@
 	})
 }
 
+// awaitPeers waits until a number of balancers are registered in the view, this one included.
+func (n *node) awaitPeers(t *testing.T, count int) {
+	t.Helper()
+	eventually(t, fmt.Sprintf("%d peers", count), func() bool {
+		_, text := get(n.settings.MetricsAddress, "/metrics")
+		return strings.Contains(text, fmt.Sprintf("trefoilspring_peers %d\n", count))
+	})
+}
+
 // awaitReadiness waits until the readiness check returns an HTTP status.
 func (n *node) awaitReadiness(t *testing.T, status int) {
 	t.Helper()
--- a/balancer/peers_test.go
+++ b/balancer/peers_test.go
@@ -88,15 +88,9 @@
 	s.set("trefoilspring/balancers/b-1", `{"availability-zone":"b","address":"127.0.0.1:9","strength":0}`)
 	n := newNode(t, "a-1", s)
 	n.start(t)
-	awaitPeers := func(count string) {
-		eventually(t, count+" peers", func() bool {
-			_, text := get(n.settings.MetricsAddress, "/metrics")
-			return strings.Contains(text, "trefoilspring_peers "+count+"\n")
-		})
-	}
-	awaitPeers("2") // b-1 and this balancer itself
+	n.awaitPeers(t, 2) // b-1 and this balancer itself
 	s.set("trefoilspring/balancers/b-1", "[]")
-	awaitPeers("1")
+	n.awaitPeers(t, 1)
 	_, text := get(n.settings.MetricsAddress, "/metrics")
 	is.True(strings.Contains(text, "trefoilspring_entry_errors_total 1"))
 }
--- a/balancer/registrar_test.go
+++ b/balancer/registrar_test.go
@@ -16,7 +16,7 @@
 	s.set("op/config", configurationText)
 	n := newNode(t, "n1", s)
 	n.start(t)
-	eventually(t, "registration", func() bool { return n.log.contains("balancer registered") })
+	n.awaitPeers(t, 1)
 	return n, s
 }
 
@@ -73,5 +73,5 @@
 	n.start(t)
 	eventually(t, "failure", func() bool { return n.log.contains("registration failed") })
 	s.setDown(false)
-	eventually(t, "registration", func() bool { return n.log.contains("balancer registered") })
+	n.awaitPeers(t, 1)
 }
--- a/balancer/suspended_test.go
+++ b/balancer/suspended_test.go
@@ -77,7 +77,7 @@
 	n, suspend := newSuspendableNode(t, s)
 	n.start(t)
 	n.awaitReadiness(t, 200)
-	eventually(t, "registration", func() bool { return n.log.contains("balancer registered") })
+	n.awaitPeers(t, 1)
 	before := s.waiting.Load()
 	eventually(t, "a query that waits", func() bool { return s.waiting.Load() > before })
 	suspend()
