--- a/review/4/run.sh
+++ b/review/3/run.sh
@@ -7,4 +7,4 @@
     exit 2
   fi
 done
-exec target/review-standin routes --binary target/trefoilspring --record review/4/record.txt
+exec target/review-standin routes --binary target/trefoilspring --record review/3/record.txt
--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -70,6 +70,9 @@
 	// datagrams counts what clients and servers sent.
 	datagrams atomic.Int64
 	bounds    bounds
+	// workTime is how long a server works on a request, coldPerS the services' coldPerS.
+	workTime time.Duration
+	coldPerS float64
 	// onReset judges a reset that a client accepted on an open flow.
 	onReset func(f *clientFlow, by string, system bool)
 }
@@ -82,7 +85,7 @@
 	d := &deployment{
 		record: r, trouble: trouble, binary: binary, folder: folder,
 		block: byte(64 + rand.IntN(180)), port: uint16(21000 + 40*rand.IntN(200)), zones: []string{"zone-a", "zone-b", "zone-c"},
-		store: newStore(), routers: map[string]*router{}, flows: map[flowID]*flowState{}, lost: map[flowID]bool{}, version: 4, bounds: kettleBooking,
+		store: newStore(), routers: map[string]*router{}, flows: map[flowID]*flowState{}, lost: map[flowID]bool{}, version: 4, bounds: kettleBooking, workTime: 40 * time.Millisecond, coldPerS: 20,
 	}
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	l, err := net.Listen("tcp", d.storeAddress())
@@ -154,7 +157,7 @@
 		})
 	}
 	for _, s := range []string{"desk", "press"} {
-		document.Services = append(document.Services, serviceJSON{Name: s, HealthPath: "/health", MaxConns: 4444, Protocol: "h1", WarmupS: warmup.Seconds(), ColdPerS: 20})
+		document.Services = append(document.Services, serviceJSON{Name: s, HealthPath: "/health", MaxConns: 4444, Protocol: "h1", WarmupS: warmup.Seconds(), ColdPerS: d.coldPerS})
 	}
 	value, err := json.Marshal(document)
 	if err != nil {
@@ -249,14 +252,14 @@
 	n := 0
 	for _, z := range d.zones {
 		for range deskPerZone {
-			if _, err := d.startServer("desk", z, n); err != nil {
+			if _, err := d.startServer("desk", z, n, false); err != nil {
 				return err
 			}
 			n++
 		}
 	}
 	for i := range pressServers {
-		if _, err := d.startServer("press", d.zones[i%len(d.zones)], n); err != nil {
+		if _, err := d.startServer("press", d.zones[i%len(d.zones)], n, false); err != nil {
 			return err
 		}
 		n++
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -22,6 +22,7 @@
 	"pinned": runPinned,
 	"watch":  runWatch,
 	"routes": runRoutes,
+	"cold":   runCold,
 }
 
 // maxRunTime ends a run that doesn't end by itself.
@@ -29,7 +30,7 @@
 
 func main() {
 	if len(os.Args) < 2 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: standin pinned|watch|routes --binary FILE --record FILE")
+		fmt.Fprintln(os.Stderr, "usage: standin pinned|watch|routes|cold --binary FILE --record FILE")
 		os.Exit(2)
 	}
 	flags := flag.NewFlagSet(os.Args[1], flag.ExitOnError)
--- a/review/standin/proxy.go
+++ b/review/standin/proxy.go
@@ -14,6 +14,8 @@
 
 	mu    sync.Mutex
 	conns map[*proxyConn]bool
+	// down makes new connections silent too.
+	down bool
 }
 
 type proxyConn struct {
@@ -46,6 +48,9 @@
 		c := &proxyConn{client: client, server: server, silenced: make(chan struct{})}
 		p.mu.Lock()
 		p.conns[c] = true
+		if p.down {
+			c.once.Do(func() { close(c.silenced) })
+		}
 		p.mu.Unlock()
 		p.group.Go(func() { p.pipe(c, client, server) })
 		p.group.Go(func() { p.pipe(c, server, client) })
@@ -94,6 +99,16 @@
 	return len(p.conns)
 }
 
+// setDown makes all connections silent, new ones too, or lets new ones pass again.
+func (p *proxy) setDown(down bool) {
+	p.mu.Lock()
+	p.down = down
+	p.mu.Unlock()
+	if down {
+		p.silence()
+	}
+}
+
 func (p *proxy) close() {
 	p.listener.Close()
 	p.mu.Lock()
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -15,7 +15,6 @@
 
 const (
 	heartbeatInterval = 770 * time.Millisecond
-	workTime          = 40 * time.Millisecond
 	// firstRetransmission doubles up to maxRetransmission, maxRetransmissions times.
 	firstRetransmission = 200 * time.Millisecond
 	maxRetransmission   = 1600 * time.Millisecond
@@ -59,15 +58,23 @@
 	mu    sync.Mutex
 	flows map[flowID]*serverFlow
 	seq   int
+	// coldUntil is when the server stops being cold, and coldOpenings are the times of the
+	// openings that it got while it was cold.
+	coldUntil    time.Time
+	coldOpenings []time.Time
 }
 
-func (d *deployment) startServer(service, zone string, n int) (*server, error) {
+func (d *deployment) startServer(service, zone string, n int, cold bool) (*server, error) {
 	id := rand.Uint64()>>32 | 1
 	s := &server{
 		d: d, name: fmt.Sprintf("i-%x", id), id: id, service: service, zone: zone,
 		address: netip.AddrPortFrom(d.address(netServers, n), d.port), born: time.Now().UnixMilli(),
 		flows: map[flowID]*serverFlow{}, line: newDelayLine(),
 	}
+	if cold {
+		s.coldUntil = time.Now().Add(warmup)
+		d.record.line("server %s (%s, %s) starts and is cold", s.name, service, zone)
+	}
 	var err error
 	if s.conn, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(s.address)); err != nil {
 		return nil, err
@@ -106,6 +113,16 @@
 // warmup is warmupS: how long a server is cold after its start.
 const warmup = 2 * time.Second
 
+// leave ends a server that has drained, and removes its entry.
+func (s *server) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.health.Close()
+	s.conn.Close()
+	s.d.store.set("servers/"+s.name, nil)
+	s.d.record.line("server %s leaves", s.name)
+}
+
 // beat writes the server's entry. It writes it again when more than seq has changed.
 func (s *server) beat() {
 	s.register("ready")
@@ -115,8 +132,8 @@
 func (s *server) register(state string) time.Time {
 	s.mu.Lock()
 	s.seq++
-	value := fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","capacity":3,"state":%q,"warmupLeftMs":0,"seq":%d,"born":%d}`,
-		s.service, s.address, s.zone, state, s.seq, s.born)
+	value := fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","capacity":3,"state":%q,"warmupLeftMs":%d,"seq":%d,"born":%d}`,
+		s.service, s.address, s.zone, state, max(time.Until(s.coldUntil).Milliseconds(), 0), s.seq, s.born)
 	s.mu.Unlock()
 	return s.d.store.set("servers/"+s.name, []byte(value))
 }
@@ -184,6 +201,9 @@
 		f.next = f.isn + 1
 		s.flows[id] = f
 		f.echo = p.echo
+		if now := time.Now(); p.ack == 0 && now.Before(s.coldUntil) {
+			s.coldOpenings = append(s.coldOpenings, now)
+		}
 		s.d.record.line("server %s half-open %s seq=%d copy=%d", s.name, id, f.isn, p.ack)
 		s.sendReliably(f, packet{flags: flagSyn | flagAck, seq: f.isn})
 		return
@@ -217,7 +237,7 @@
 	s.send(f, packet{flags: flagAck, seq: f.next})
 	request := requestID(p.data)
 	s.d.record.line("server %s runs %s on %s", s.name, request, f.id)
-	time.AfterFunc(workTime, func() {
+	time.AfterFunc(s.d.workTime, func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		if s.flows[f.id] != f {
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -100,6 +100,22 @@
 	}
 }
 
+// lapse ends all leases and removes their keys.
+func (s *store) lapse() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ended := len(s.leases)
+	for id := range s.leases {
+		delete(s.leases, id)
+		for key, i := range s.items {
+			if i.Lease == id {
+				s.put(key, nil, 0)
+			}
+		}
+	}
+	return ended
+}
+
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	time.Sleep(answerTime)
 	status, body := s.handle(r)
