--- a/balancer/explain.go
+++ b/balancer/explain.go
@@ -105,6 +105,7 @@
 	director.ReasonNoRoute:           "no route of the configuration in force has this address",
 	director.ReasonNoTarget:          "no target of the service accepts new flows",
 	director.ReasonTargetGone:        "the target that the token names was removed",
+	director.ReasonOpeningAnswered:   "the flow is open, and its target takes no new flows",
 	director.ReasonTargetUnreachable: "the target is unreachable, and the request may be repeated on another target",
 	director.ReasonTargetLapsed:      "the target's registration lapsed, but it may live",
 	director.ReasonNoToken:           "no target accepts the flow, so its packets have no token to carry",
--- a/director/chooser.go
+++ b/director/chooser.go
@@ -9,24 +9,23 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// choose returns the target for a new flow, other than avoid, or nil if no target accepts
-// the flow. key is the flow's flowKey. Targets are ranked by weighted rendezvous hashing:
-// balancers with the same view choose the same target, so a retransmitted opening packet
-// that reaches another balancer goes to the same target.
+// choose returns the target for a new flow, or nil if no target accepts the flow. key is the
+// flow's flowKey. Targets are ranked by weighted rendezvous hashing, so balancers with the
+// same view choose the same target.
 //
 // A new flow stays in the own availability zone as far as the zone has capacity. A network
 // partition between zones then doesn't break the flow.
-func (d *Director) choose(now time.Time, key uint64, route Route, avoid *member) *member {
+func (d *Director) choose(now time.Time, key uint64, route Route) *member {
 	p := d.pools[pickService(key, route.Backends)]
 	if p == nil {
 		return nil
 	}
-	if m := d.chooseLocal(now, key, p, avoid); m != nil {
+	if m := d.chooseLocal(now, key, p); m != nil {
 		return m
 	}
 	var tried [maxColdTries]*member
 	for n := range tried {
-		m := d.bestRanked(now, key, p, avoid, tried[:n])
+		m := d.bestRanked(now, key, p, tried[:n])
 		if m == nil {
 			return nil
 		}
@@ -62,15 +61,15 @@
 	return unitInterval(hashPair(d.seed, m.ID))
 }
 
-// bestRanked returns the highest-ranked target that is neither avoid nor in tried, or nil if
-// there is none. Targets of the own region come first, then targets of other regions, and
+// bestRanked returns the highest-ranked target that isn't in tried, or nil if there is
+// none. Targets of the own region come first, then targets of other regions, and
 // suspect targets of any region last.
-func (d *Director) bestRanked(now time.Time, key uint64, p *pool, avoid *member, tried []*member) *member {
+func (d *Director) bestRanked(now time.Time, key uint64, p *pool, tried []*member) *member {
 	const sameRegion, otherRegion, suspect, classes = 0, 1, 2, 3
 	var best [classes]*member
 	var bestScore [classes]float64
 	for _, m := range p.members {
-		if m == avoid || !d.acceptsNewFlows(m) || contains(tried, m) {
+		if !d.acceptsNewFlows(m) || contains(tried, m) {
 			continue
 		}
 		class := otherRegion
--- a/director/director.go
+++ b/director/director.go
@@ -77,7 +77,9 @@
 	ReasonFlow              Reason = "flow"               // the token names a registered target
 	ReasonOpening           Reason = "opening"            // a target was chosen for a new flow
 	ReasonOpeningRepeated   Reason = "opening-repeated"   // a repeated opening packet goes to the same target
-	ReasonOpeningMoved      Reason = "opening-moved"      // a retransmitted opening packet goes to another target
+	ReasonOpeningUnknown    Reason = "opening-unknown"    // a retransmitted opening packet whose first copy didn't pass here
+	ReasonOpeningUnanswered Reason = "opening-unanswered" // the target left the opening packet unanswered
+	ReasonOpeningAnswered   Reason = "opening-answered"   // a late opening packet of a flow that is open
 	ReasonNoRoute           Reason = "no-route"           // no route has the destination address
 	ReasonNoTarget          Reason = "no-target"          // no target of the service accepts the flow
 	ReasonTargetGone        Reason = "target-gone"        // the target was removed, and is confirmed gone or unreachable
@@ -178,15 +180,16 @@
 func (d *Director) decideEstablished(now time.Time, p *Packet, route Route) Decision {
 	key := flowKey(p)
 	f := d.flows.find(key)
-	if f == nil {
+	switch {
+	case f == nil:
 		f = d.flows.add(now, key, p)
+	case !f.includes(p):
+		// The caller uses the port of the tracked flow again, for a flow that was opened at
+		// another balancer. Only the packet's token tells that flow's target.
+		f = nil
 	}
 	token := p.Token
 	if f != nil {
-		// Two targets may have answered the opening packet. The flow belongs to the
-		// target whose answer the caller received first. A later answer of the other
-		// target makes the caller echo that target's token, until the caller receives
-		// the next packet of the first target.
 		token = d.flows.pin(f, token)
 	}
 	if token == 0 {
@@ -243,6 +246,12 @@
 }
 
 // decideOpening decides on an opening packet, whether it is the first of its flow or not.
+//
+// An opening packet and its retransmissions go to one target only. If a second target
+// answered too, the caller would echo its token for as long as that target repeats its
+// answer, and a balancer that saw none of the flow's earlier packets would forward the
+// flow to the wrong target. An attempt that can't go on at its target is reset instead,
+// and the caller opens another flow. Callers ignore this reset if the flow is open by then.
 func (d *Director) decideOpening(now time.Time, p *Packet, route Route) Decision {
 	key := flowKey(p)
 	f := d.flows.find(key)
@@ -250,50 +259,65 @@
 		d.flows.remove(key, f)
 		f = nil
 	}
+	switch {
+	case f != nil && f.pinned != 0:
+		f.lastSeen = now
+		return d.decideLateOpening(now, f)
+	case f != nil && f.openingToken != 0:
+		f.lastSeen = now
+		return d.decideRepeatedOpening(now, p, f)
+	case p.Retransmissions > 0 && (f == nil || !f.openingSeen):
+		// Another balancer may have sent the first copy to a target that can't be known here.
+		return Decision{Action: Reset, Reason: ReasonOpeningUnknown}
+	}
+	m := d.choose(now, key, route)
+	if m == nil {
+		return Decision{Action: Reset, Reason: ReasonNoTarget}
+	}
 	if f == nil {
-		m := d.choose(now, key, route, nil)
-		if m == nil {
-			return Decision{Action: Reset, Reason: ReasonNoTarget}
-		}
-		if f = d.flows.add(now, key, p); f != nil {
-			f.openingToken, f.openingSentAt = d.tokens.Issue(m.ID), now
-			d.openings = append(d.openings, forwardedOpening{key: key, at: now})
-		}
-		return d.forwardOpening(m, ReasonOpening)
+		f = d.flows.add(now, key, p)
 	}
-	f.lastSeen = now
-	if f.pinned != 0 {
-		if m, ok := d.registered(now, f.pinned); ok {
-			return Decision{Action: Forward, Reason: ReasonOpeningRepeated, Target: &m.Target, Token: f.pinned}
-		}
+	if f != nil {
+		f.openingSequence, f.openingSeen = p.Sequence, true
+		f.openingToken, f.openingSentAt = d.tokens.Issue(m.ID), now
+		d.openings = append(d.openings, forwardedOpening{key: key, at: now})
 	}
-	return d.decideRetransmittedOpening(now, p, route, f)
+	return d.forwardOpening(m, ReasonOpening)
 }
 
-// decideRetransmittedOpening decides on a further opening packet of a flow that isn't
-// pinned to a target. The target of the earlier packet may be gone, unreachable or full,
-// so the packet goes to another target. It goes to the same target again if that target
-// has answered another flow since, because then a packet was lost. It does so too if
-// Retransmissions is 0, because then the caller has not retransmitted the packet.
-func (d *Director) decideRetransmittedOpening(now time.Time, p *Packet, route Route, f *flow) Decision {
-	previous, ok := d.registered(now, f.openingToken)
-	if ok {
-		if previous.health.answeredSince(f.openingSentAt) || p.Retransmissions == 0 {
-			return d.forwardOpening(previous, ReasonOpeningRepeated)
-		}
-		previous.health.recordUnansweredOpening(now)
-		d.requestCheck(now, previous)
+// decideLateOpening decides on an opening packet that arrives after a later packet of its
+// flow. The flow is open, so the packet matters to nobody but its target.
+func (d *Director) decideLateOpening(now time.Time, f *flow) Decision {
+	m, ok := d.registered(now, f.pinned)
+	if !ok || !d.acceptsNewFlows(m) {
+		return Decision{Action: Drop, Reason: ReasonOpeningAnswered}
 	}
-	m := d.choose(now, flowKey(p), route, previous)
-	if m == nil {
-		if !ok {
-			return Decision{Action: Reset, Reason: ReasonNoTarget}
-		}
-		return d.forwardOpening(previous, ReasonOpeningRepeated)
+	return Decision{Action: Forward, Reason: ReasonOpeningRepeated, Target: &m.Target, Token: f.pinned}
+}
+
+// openingTimeout is how long a target that answers no flow may leave an opening packet
+// unanswered. Callers retransmit an opening packet after 200 ms and 600 ms, and targets
+// repeat a lost answer in the same intervals.
+const openingTimeout = 400 * time.Millisecond
+
+// decideRepeatedOpening decides on a further opening packet of a flow whose first one was
+// forwarded. It goes to the same target as long as that target may answer it.
+func (d *Director) decideRepeatedOpening(now time.Time, p *Packet, f *flow) Decision {
+	m, ok := d.registered(now, f.openingToken)
+	switch {
+	case !ok || !d.acceptsNewFlows(m):
+		return Decision{Action: Reset, Reason: ReasonTargetGone}
+	case m.health.unreachable:
+		return Decision{Action: Reset, Reason: ReasonTargetUnreachable, Target: &m.Target, Token: f.openingToken}
+	case p.Retransmissions == 0 || m.health.answeredSince(f.openingSentAt):
+		return Decision{Action: Forward, Reason: ReasonOpeningRepeated, Target: &m.Target, Token: f.openingToken}
+	}
+	m.health.recordUnansweredOpening(now)
+	d.requestCheck(now, m)
+	if now.Sub(f.openingSentAt) >= openingTimeout {
+		return Decision{Action: Reset, Reason: ReasonOpeningUnanswered}
 	}
-	f.openingToken = d.tokens.Issue(m.ID)
-	f.openingSentAt = now
-	return d.forwardOpening(m, ReasonOpeningMoved)
+	return Decision{Action: Forward, Reason: ReasonOpeningRepeated, Target: &m.Target, Token: f.openingToken}
 }
 
 // forwardOpening returns the decision to forward an opening packet to a target.
--- a/director/explain.go
+++ b/director/explain.go
@@ -71,9 +71,9 @@
 	if p == nil {
 		return Decision{Action: Reset, Reason: ReasonNoTarget}
 	}
-	m := d.chooseLocal(now, key, p, nil)
+	m := d.chooseLocal(now, key, p)
 	if m == nil {
-		m = d.bestRanked(now, key, p, nil, nil)
+		m = d.bestRanked(now, key, p, nil)
 	}
 	if m != nil {
 		return d.forwardOpening(m, ReasonOpening)
--- a/director/flows.go
+++ b/director/flows.go
@@ -25,16 +25,16 @@
 	source      netip.AddrPort
 	destination netip.AddrPort
 	lastSeen    time.Time
-	// openingToken names the target that the opening packet was last sent to, and
-	// openingSentAt is when it was first sent to that target.
+	// openingToken names the target that the opening packet was sent to, and openingSentAt
+	// is when it was first sent. openingToken is 0 if the packet wasn't sent from here.
 	openingToken  tokenizer.Token
 	openingSentAt time.Time
 	// openingSequence is the sequence number of the opening packet. It is valid if
-	// openingSeen is true.
+	// openingSeen is true, that is if the first copy of the packet arrived here.
 	openingSequence uint32
 	openingSeen     bool
 	// pinned is the token of the flow's first packet that carried one, or 0 before that
-	// packet. It names the target whose answer the caller received first.
+	// packet. It names the target whose answer opened the flow.
 	pinned tokenizer.Token
 	// sequence is the highest sequence number of a packet with data from the caller.
 	// waitingSince is when the caller first sent data that the target has not answered
@@ -58,6 +58,18 @@
 	return f.sequence != 0 && f.sequence-opening.Sequence > maxFlowBytes
 }
 
+// includes reports whether a packet that follows an opening packet is of this flow, and not
+// of another one with the same addresses and ports.
+func (f *flow) includes(p *Packet) bool {
+	switch {
+	case f.openingSeen:
+		return p.Sequence-f.openingSequence <= maxFlowBytes
+	case f.sequence != 0:
+		return int32(p.Sequence-f.sequence) <= maxFlowBytes && int32(f.sequence-p.Sequence) <= maxFlowBytes
+	}
+	return true
+}
+
 // observation is what a packet shows of its flow and of the flow's target.
 type observation struct {
 	// progress reports whether the packet acknowledges an answer of the target that no
--- a/director/locality.go
+++ b/director/locality.go
@@ -75,21 +75,19 @@
 	dm.windowStart, dm.requests, dm.timedRequests, dm.totalTime = now, 0, 0, 0
 }
 
-// chooseLocal returns the highest-ranked target of the own zone, other than avoid. It returns
-// nil if no target of the zone is ready, or if the flow is among those that the zone lacks
-// capacity for. A retransmitted opening packet has avoid set to the target of the previous
-// packet, and gets a target of the own zone regardless of capacity.
+// chooseLocal returns the highest-ranked target of the own zone. It returns nil if no target
+// of the zone is ready, or if the flow is among those that the zone lacks capacity for.
 //
 // Load patterns: zones are cut off from each other, and only flows that cross between zones
 // are lost; and callers of one zone send more requests than its targets can handle.
-func (d *Director) chooseLocal(now time.Time, key uint64, p *pool, avoid *member) *member {
-	if avoid == nil && unitInterval(hashPair(key, localitySalt)) >= d.localShare(now, p) {
+func (d *Director) chooseLocal(now time.Time, key uint64, p *pool) *member {
+	if unitInterval(hashPair(key, localitySalt)) >= d.localShare(now, p) {
 		return nil
 	}
 	var best *member
 	var bestScore float64
 	for _, m := range p.members {
-		if m == avoid || !d.isReadyLocally(now, m) {
+		if !d.isReadyLocally(now, m) {
 			continue
 		}
 		if s := score(key, m); s > bestScore {
--- /dev/null
+++ b/director/opening_test.go
@@ -0,0 +1,316 @@
+package director_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"trefoilspring.example/trefoilspring/director"
+	"trefoilspring.example/trefoilspring/tokenizer"
+)
+
+// Guards against an open flow that goes to another target once another balancer forwards it:
+// the answer to the opening is lost, the retransmission went to a second target, and the
+// caller echoes the token of whichever target answered last.
+func TestLostAnswerToOpeningNeverInvolvesASecondTarget(t *testing.T) {
+	is := is.New(t)
+	d, other := newDirector(6), newDirector(6)
+	first := d.Decide(start, opening(1, 0))
+	is.Equal(first.Reason, director.ReasonOpening)
+	second := d.Decide(start.Add(200*time.Millisecond), opening(1, 1))
+	is.Equal(second.Reason, director.ReasonOpeningRepeated)
+	is.Equal(second.Target.Name, first.Target.Name)
+	checks := d.TakeChecks()
+	is.Equal(len(checks), 1)
+	is.Equal(checks[0].Name, first.Target.Name)
+	// Any later packet names the one target, also to a balancer that is new to the flow.
+	is.Equal(other.Decide(start.Add(5*time.Second), data(1, board, second.Token, 1, 1)).Target.Name, first.Target.Name)
+}
+
+// A target that leaves two copies of an opening packet unanswered may be full. The caller is
+// told to open another flow while its attempt still has time.
+func TestUnansweredOpeningIsReset(t *testing.T) {
+	is := is.New(t)
+	d := newDirector(6)
+	d.Decide(start, opening(1, 0))
+	d.Decide(start.Add(200*time.Millisecond), opening(1, 1))
+	third := d.Decide(start.Add(600*time.Millisecond), opening(1, 2))
+	is.Equal(third, director.Decision{Action: director.Reset, Reason: director.ReasonOpeningUnanswered})
+}
+
+// All copies of an opening packet wait in the socket of a balancer that stood still. They
+// reach the target within a millisecond, so its silence means nothing yet.
+func TestOpeningsThatWaitedTogetherAreNotUnanswered(t *testing.T) {
+	is := is.New(t)
+	d := newDirector(6)
+	first := d.Decide(start, opening(1, 0))
+	for retransmissions := range uint32(3) {
+		is.Equal(d.Decide(start.Add(time.Millisecond), opening(1, retransmissions)).Target.Name, first.Target.Name)
+	}
+}
+
+// Guards against a second target for an opening packet whose first copy went through another
+// balancer, through this one before a restart, or through this one while its table was full.
+func TestRetransmittedOpeningIsResetWhereTheFirstCopyIsUnknown(t *testing.T) {
+	is := is.New(t)
+	unknown := director.Decision{Action: director.Reset, Reason: director.ReasonOpeningUnknown}
+	d := newDirector(6)
+	is.Equal(d.Decide(start, opening(1, 1)), unknown)
+	is.Equal(d.Decide(start, opening(1, 2)), unknown)
+	const maxTrackedFlows = 32768
+	for n := range maxTrackedFlows {
+		d.Decide(start, opening(100+n, 0))
+	}
+	is.Equal(d.TrackedFlows(), maxTrackedFlows)
+	is.Equal(d.Decide(start, opening(60001, 0)).Action, director.Forward)
+	is.Equal(d.Decide(start.Add(200*time.Millisecond), opening(60001, 1)), unknown)
+}
+
+// A retransmitted opening packet doesn't reach a target that has begun to leave or whose
+// zone was taken out, since its first copy may have been lost. The caller opens another flow.
+func TestRetransmittedOpeningDoesNotReachALeavingTarget(t *testing.T) {
+	for name, leave := range map[string]func(*director.Director, director.Target){
+		"draining": func(d *director.Director, t director.Target) {
+			t.Draining = true
+			d.SetTarget(start, t)
+		},
+		"zone out": func(d *director.Director, t director.Target) { d.SetZoneOut(t.AvailabilityZone, true) },
+		"removed":  func(d *director.Director, t director.Target) { d.RemoveTarget(start, t.Name) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := newDirector(6)
+			first := d.Decide(start, opening(1, 0))
+			leave(d, *first.Target)
+			second := d.Decide(start.Add(200*time.Millisecond), opening(1, 1))
+			is.Equal(second, director.Decision{Action: director.Reset, Reason: director.ReasonTargetGone})
+		})
+	}
+}
+
+// A check that finds a target unreachable ends the attempts to open a flow there at once,
+// whether or not their requests may be repeated: none has run.
+func TestOpeningsAtAnUnreachableTargetAreReset(t *testing.T) {
+	is := is.New(t)
+	d := newDirector(6)
+	p := opening(1, 0)
+	p.Destination = holds
+	first := d.Decide(start, p)
+	p.Retransmissions = 1
+	now := start.Add(200 * time.Millisecond)
+	d.Decide(now, p)
+	resets := d.RecordVerdict(now, d.TakeChecks()[0], director.Unreachable)
+	is.Equal(len(resets), 1)
+	is.Equal(resets[0].Source, p.Source)
+	p.Retransmissions = 2
+	third := d.Decide(now, p)
+	is.Equal(third.Action, director.Reset)
+	is.Equal(third.Reason, director.ReasonTargetUnreachable)
+	is.Equal(third.Target.Name, first.Target.Name)
+}
+
+// A caller uses a port again for a flow that another balancer opened. What this balancer
+// knows of the earlier flow must not lead packets of the new one to the earlier target.
+func TestPortThatIsUsedAgainElsewhereBeginsAnotherFlow(t *testing.T) {
+	is := is.New(t)
+	d := newDirector(6)
+	for _, sequence := range []uint32{1001, 3_000_000_000} {
+		is.Equal(d.Decide(start, data(1, board, tokenizer.Of(1), sequence, 1)).Target.Name, "t-1")
+		is.Equal(d.Decide(start, data(1, board, tokenizer.Of(2), sequence+900_000_000, 1)).Target.Name, "t-2")
+		d.Tick(start.Add(10 * time.Second))
+	}
+}
+
+// Guards against open flows at two targets: whatever is lost, delayed or reordered, however
+// often the hash changes, and whichever balancers restart or know of a leaving target
+// later than others, an opening packet reaches one target only, and all packets of an open
+// flow reach that target.
+func TestFlowHasOneTargetInAnyHistory(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h := newFlowHistory(t)
+		h.run()
+	})
+}
+
+// flowHistory plays one flow in virtual time between a caller, a few balancers and the
+// targets. Each packet takes a random time, is lost at random, and reaches the balancer
+// that a changing hash picks.
+type flowHistory struct {
+	t         *rapid.T
+	now       time.Duration
+	events    []flowEvent
+	directors []*director.Director
+	// openedAt holds the targets that an opening packet of the flow reached, with the
+	// number of answers that each has sent and the token that it echoes.
+	answers map[string]int
+	echoes  map[string]tokenizer.Token
+	// owner is the target whose answer opened the flow, and echo the token that the caller
+	// echoes. ended reports whether the caller gave the attempt up.
+	owner string
+	echo  tokenizer.Token
+	ended bool
+	// acked reports whether the owner has received a packet of the open flow.
+	acked bool
+}
+
+type flowEvent struct {
+	at  time.Duration
+	run func()
+}
+
+const (
+	callerISN = 7000
+	targetISN = 900_000
+)
+
+func newFlowHistory(t *rapid.T) *flowHistory {
+	h := &flowHistory{t: t, answers: make(map[string]int), echoes: make(map[string]tokenizer.Token)}
+	for range rapid.IntRange(1, 4).Draw(t, "balancers") {
+		h.directors = append(h.directors, h.newDirector())
+	}
+	return h
+}
+
+// newDirector returns a director with a view that differs from that of the others.
+func (h *flowHistory) newDirector() *director.Director {
+	d := newDirectorIn(rapid.SampledFrom([]string{"a", "b", "entry"}).Draw(h.t, "zone"), 6)
+	for id := 1; id <= 6; id++ {
+		switch changed := target(id); rapid.IntRange(0, 5).Draw(h.t, "state") {
+		case 0:
+			changed.ColdFor = time.Minute
+			d.SetTarget(start, changed)
+		case 1:
+			changed.Capacity = 9
+			d.SetTarget(start, changed)
+		}
+	}
+	return d
+}
+
+func (h *flowHistory) after(delay time.Duration, run func()) {
+	h.events = append(h.events, flowEvent{at: h.now + delay, run: run})
+}
+
+// deliver runs arrive after a random delay, or never.
+func (h *flowHistory) deliver(what string, arrive func()) {
+	switch rapid.IntRange(0, 9).Draw(h.t, what) {
+	case 0, 1:
+	case 2:
+		h.after(time.Duration(rapid.IntRange(0, 3000).Draw(h.t, "ms late"))*time.Millisecond, arrive)
+	default:
+		h.after(3*time.Millisecond, arrive)
+	}
+}
+
+func (h *flowHistory) run() {
+	for n, at := range []time.Duration{0, 200, 600} {
+		h.after(at*time.Millisecond, func() {
+			if h.owner == "" && !h.ended {
+				h.send(&director.Packet{Source: caller(1), Destination: board, Opening: true, Sequence: callerISN, Retransmissions: uint32(n)})
+			}
+		})
+	}
+	h.after(1400*time.Millisecond, func() { h.ended = h.ended || h.owner == "" })
+	for n := range rapid.IntRange(0, 12).Draw(h.t, "requests") {
+		h.after(time.Duration(rapid.IntRange(100, 9000).Draw(h.t, "request at"))*time.Millisecond, func() {
+			if h.owner != "" && !h.ended {
+				h.send(h.callerPacket(uint32(1+16*n), []byte("GET / HTTP/1.1\r\n")))
+			}
+		})
+	}
+	for range rapid.IntRange(0, 3).Draw(h.t, "restarts") {
+		h.after(h.drawTime("restart at"), func() { h.directors[h.pick()] = h.newDirector() })
+	}
+	if rapid.Bool().Draw(h.t, "target leaves") {
+		leaving := target(rapid.IntRange(1, 6).Draw(h.t, "leaving"))
+		leaving.Draining = true
+		for i := range h.directors {
+			h.after(h.drawTime("leaves at"), func() { h.directors[i].SetTarget(start.Add(h.now), leaving) })
+		}
+	}
+	for len(h.events) > 0 {
+		next := 0
+		for i, e := range h.events {
+			if e.at < h.events[next].at {
+				next = i
+			}
+		}
+		e := h.events[next]
+		h.events = slices.Delete(h.events, next, next+1)
+		h.now = e.at
+		e.run()
+	}
+}
+
+func (h *flowHistory) drawTime(what string) time.Duration {
+	return time.Duration(rapid.IntRange(0, 3000).Draw(h.t, what)) * time.Millisecond
+}
+
+func (h *flowHistory) pick() int { return rapid.IntRange(0, len(h.directors)-1).Draw(h.t, "balancer") }
+
+func (h *flowHistory) callerPacket(offset uint32, payload []byte) *director.Packet {
+	return &director.Packet{
+		Source: caller(1), Destination: board, Token: h.echo, Data: payload,
+		Sequence: callerISN + offset, Acknowledged: targetISN + 1,
+	}
+}
+
+// send sends a packet of the caller.
+func (h *flowHistory) send(p *director.Packet) {
+	h.deliver("caller's packet", func() { h.decide(h.directors[h.pick()], p) })
+}
+
+func (h *flowHistory) decide(d *director.Director, p *director.Packet) {
+	decision := d.Decide(start.Add(h.now), p)
+	d.TakeChecks()
+	switch {
+	case decision.Action == director.Reset && p.Opening:
+		// Callers ignore the reset of an opening if the flow is open.
+		h.deliver("reset", func() { h.ended = h.ended || h.owner == "" })
+	case decision.Action == director.Reset:
+		h.t.Fatalf("packet of the open flow was reset: %s", decision.Reason)
+	case decision.Action == director.Drop:
+	case p.Opening:
+		h.arriveOpening(decision)
+	case decision.Target.Name != h.owner:
+		h.t.Fatalf("packet of the flow open at %s went to %s", h.owner, decision.Target.Name)
+	default:
+		h.acked = true
+	}
+}
+
+// arriveOpening lets a target answer an opening packet, and repeat its answer as long as the
+// flow isn't open there.
+func (h *flowHistory) arriveOpening(decision director.Decision) {
+	name := decision.Target.Name
+	h.echoes[name] = decision.Token
+	if len(h.echoes) > 1 {
+		h.t.Fatalf("the opening packet reached two targets: %v", h.echoes)
+	}
+	h.answer(name, 200*time.Millisecond)
+}
+
+func (h *flowHistory) answer(name string, interval time.Duration) {
+	h.answers[name]++
+	h.deliver("answer", func() {
+		if h.ended {
+			return
+		}
+		if h.owner == "" {
+			h.owner = name
+		}
+		h.echo = h.echoes[name]
+		h.send(h.callerPacket(1, nil))
+	})
+	const maxAnswers = 9
+	if h.answers[name] < maxAnswers {
+		h.after(interval, func() {
+			if h.owner != name || !h.acked {
+				h.answer(name, min(2*interval, 1600*time.Millisecond))
+			}
+		})
+	}
+}
