--- a/balancer/view.go
+++ b/balancer/view.go
@@ -80,6 +80,9 @@
 	for _, item := range changed {
 		b.apply(now, item, s)
 	}
+	if age, known := v.replica.Age(viewNow); known {
+		b.director.SetConfirmed(now.Add(-age))
+	}
 	if version, configured := b.director.Version(); configured && !v.usable {
 		v.usable = true
 		close(b.viewReady)
--- a/director/chooser.go
+++ b/director/chooser.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"encoding/binary"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -92,6 +93,13 @@
 	return !m.Draining && !d.zonesOut[m.AvailabilityZone]
 }
 
+// hasOpenTarget reports whether a target of the service accepts new flows, though its rate
+// may be used up while it is cold.
+func (d *Director) hasOpenTarget(service string) bool {
+	p := d.pools[service]
+	return p != nil && slices.ContainsFunc(p.members, d.acceptsNewFlows)
+}
+
 // score returns the score of a target for a flow, weighted by the target's capacity. The
 // target with the highest score ranks first.
 func score(key uint64, m *member) float64 {
--- a/director/director.go
+++ b/director/director.go
@@ -80,8 +80,10 @@
 	ReasonOpeningUnknown    Reason = "opening-unknown"    // a retransmitted opening packet whose first copy didn't pass here
 	ReasonOpeningUnanswered Reason = "opening-unanswered" // the target left the opening packet unanswered
 	ReasonOpeningAnswered   Reason = "opening-answered"   // a late opening packet of a flow that is open
-	ReasonNoRoute           Reason = "no-route"           // no route has the destination address
+	ReasonNoRoute           Reason = "no-route"           // no route has the destination address, as the store confirmed
+	ReasonUnknownRoute      Reason = "unknown-route"      // the view has no route with the destination address, but may lag behind
 	ReasonNoTarget          Reason = "no-target"          // no target of the service accepts the flow
+	ReasonUnknownTarget     Reason = "unknown-target"     // the view has no target that accepts the flow, but may lag behind
 	ReasonTargetGone        Reason = "target-gone"        // the target was removed, and is confirmed gone or unreachable
 	ReasonTargetUnreachable Reason = "target-unreachable" // a check found the target unreachable
 	ReasonTargetLapsed      Reason = "target-lapsed"      // the registration was removed, but the target may still run
@@ -129,8 +131,14 @@
 	// outageEnd is the time before which a removed registration doesn't mean that its
 	// target has ended, since the store was unreachable.
 	outageEnd time.Time
-	services  map[string]Service
-	flows     *flowTable
+	// confirmedAt is when the store last confirmed the view.
+	confirmedAt time.Time
+	// absentRoutes and absentTargets hold the addresses and services of openings for which
+	// the view has no route or no target that accepts new flows.
+	absentRoutes  *absences[netip.AddrPort]
+	absentTargets *absences[string]
+	services      map[string]Service
+	flows         *flowTable
 	// checkQueue holds the checks that the next call of TakeChecks returns.
 	checkQueue []Check
 	// openings holds the first opening packets of the flows that were opened within
@@ -154,6 +162,8 @@
 		removed:       newRemovedTargets(),
 		zonesOut:      make(map[string]bool),
 		zones:         make(map[string]*zoneHealth),
+		absentRoutes:  newAbsences[netip.AddrPort](),
+		absentTargets: newAbsences[string](),
 		services:      make(map[string]Service),
 		flows:         newFlowTable(),
 		balancers:     1,
@@ -164,20 +174,39 @@
 // Decide returns the decision on a packet.
 func (d *Director) Decide(now time.Time, p *Packet) Decision {
 	d.checkUnansweredOpenings(now)
-	route, ok := d.routes[p.Destination]
+	route, routed := d.routes[p.Destination]
 	switch {
 	case !d.configured:
 		return Decision{Action: Drop, Reason: ReasonNoView}
-	case !ok:
-		return Decision{Action: Reset, Reason: ReasonNoRoute}
+	case p.Opening && !routed:
+		return d.decideUnroutedOpening(now, p)
 	case p.Opening:
 		return d.decideOpening(now, p, route)
 	}
-	return d.decideEstablished(now, p, route)
+	return d.decideEstablished(now, p, route, routed)
+}
+
+// decideUnroutedOpening decides on an opening packet that no route is known for. Unless the
+// view is known to be complete, the packet is dropped, and a retransmission may find the
+// route. A caller that is reset would try again at once and use up its attempts.
+func (d *Director) decideUnroutedOpening(now time.Time, p *Packet) Decision {
+	decision := refuse(d.isAbsent(now, d.absentRoutes.seek(now, p.Destination)), ReasonNoRoute, ReasonUnknownRoute)
+	d.trackDropped(now, p, decision)
+	return decision
+}
+
+// trackDropped tracks the flow of a first opening packet that is dropped, so that a
+// retransmission may be forwarded: the packet has reached no target.
+func (d *Director) trackDropped(now time.Time, p *Packet, decision Decision) {
+	key := flowKey(p)
+	if decision.Action == Drop && p.Retransmissions == 0 && d.flows.find(key) == nil {
+		d.flows.add(now, key, p)
+	}
 }
 
-// decideEstablished decides on a packet that follows the opening packet of its flow.
-func (d *Director) decideEstablished(now time.Time, p *Packet, route Route) Decision {
+// decideEstablished decides on a packet that follows the opening packet of its flow. routed
+// reports whether the view has the flow's route.
+func (d *Director) decideEstablished(now time.Time, p *Packet, route Route, routed bool) Decision {
 	key := flowKey(p)
 	f := d.flows.find(key)
 	switch {
@@ -192,6 +221,10 @@
 	if f != nil {
 		token = d.flows.pin(f, token)
 	}
+	if !routed && f != nil && d.viewCovers(f.firstSeen) {
+		// The route existed when the flow was opened, so it has been removed since.
+		return Decision{Action: Reset, Reason: ReasonNoRoute}
+	}
 	if token == 0 {
 		return Decision{Action: Drop, Reason: ReasonNoToken}
 	}
@@ -208,7 +241,15 @@
 	if len(p.Data) > 0 && d.mayReset(m, route) {
 		return Decision{Action: Reset, Reason: ReasonTargetUnreachable, Target: &m.Target, Token: token}
 	}
-	return Decision{Action: Forward, Reason: ReasonFlow, Target: &m.Target, Token: token}
+	return Decision{Action: Forward, Reason: flowReason(routed), Target: &m.Target, Token: token}
+}
+
+// flowReason returns the reason to forward a packet of an open flow.
+func flowReason(routed bool) Reason {
+	if routed {
+		return ReasonFlow
+	}
+	return ReasonUnknownRoute
 }
 
 // decideRemoved decides on a packet whose target isn't registered. A target whose
@@ -217,7 +258,7 @@
 // repeated are reset at once.
 func (d *Director) decideRemoved(now time.Time, p *Packet, token tokenizer.Token, m *member, route Route) Decision {
 	switch {
-	case !d.removed.confirmed(now, m) && !d.mayReset(m, route):
+	case !d.removed.confirmed(now, d.confirmedAt, m) && !d.mayReset(m, route):
 		if len(p.Data) > 0 && !m.Draining {
 			d.requestCheck(now, m)
 		}
@@ -272,7 +313,7 @@
 	}
 	m := d.choose(now, key, route)
 	if m == nil {
-		return Decision{Action: Reset, Reason: ReasonNoTarget}
+		return d.decideUnservedOpening(now, p, pickService(key, route.Backends))
 	}
 	if f == nil {
 		f = d.flows.add(now, key, p)
@@ -285,6 +326,15 @@
 	return d.forwardOpening(m, ReasonOpening)
 }
 
+// decideUnservedOpening decides on an opening packet of a flow that no target of the service
+// accepts. The packet is dropped if a target may have registered that the view lacks.
+func (d *Director) decideUnservedOpening(now time.Time, p *Packet, service string) Decision {
+	certain := d.hasOpenTarget(service) || d.isAbsent(now, d.absentTargets.seek(now, service))
+	decision := refuse(certain, ReasonNoTarget, ReasonUnknownTarget)
+	d.trackDropped(now, p, decision)
+	return decision
+}
+
 // decideLateOpening decides on an opening packet that arrives after a later packet of its
 // flow. The flow is open, so the packet matters to nobody but its target.
 func (d *Director) decideLateOpening(now time.Time, f *flow) Decision {
@@ -341,5 +391,7 @@
 	d.recheckUnreachable(now)
 	d.removeLapsed(now)
 	d.removed.expire(now)
+	d.absentRoutes.expire(now)
+	d.absentTargets.expire(now)
 	d.tokens.Expire(now)
 }
--- a/director/director_test.go
+++ b/director/director_test.go
@@ -56,6 +56,7 @@
 
 func newDirectorIn(zone string, targets int) *director.Director {
 	d := director.New(1, zone)
+	d.SetConfirmed(start)
 	d.SetConfiguration(configuration(1))
 	for id := 1; id <= targets; id++ {
 		d.SetTarget(start, target(id))
@@ -154,16 +155,19 @@
 	is.True(back)
 }
 
-// An opening packet that can't be served is reset at once. Without a configuration, or with
-// an unknown token, a packet is dropped.
+// An opening packet that surely can't be served is reset at once. Without a configuration, or
+// with an unknown token, a packet is dropped.
 func TestPacketsThatCannotBeServed(t *testing.T) {
 	is := is.New(t)
 	unconfigured := director.New(1, "a")
 	is.Equal(unconfigured.Decide(start, opening(1, 0)).Action, director.Drop)
 	d := newDirector(0)
-	is.Equal(d.Decide(start, opening(1, 0)), director.Decision{Action: director.Reset, Reason: director.ReasonNoTarget})
 	nowhere := opening(1, 0)
 	nowhere.Destination = netip.MustParseAddrPort("198.18.0.9:1")
+	d.Decide(start, opening(1, 0))
+	d.Decide(start, nowhere)
+	d.SetConfirmed(start.Add(time.Second))
+	is.Equal(d.Decide(start, opening(1, 0)), director.Decision{Action: director.Reset, Reason: director.ReasonNoTarget})
 	is.Equal(d.Decide(start, nowhere), director.Decision{Action: director.Reset, Reason: director.ReasonNoRoute})
 	// Another balancer may have learnt of this token's target earlier.
 	is.Equal(d.Decide(start, data(1, board, 77, 1, 1)).Action, director.Drop)
--- a/director/explain.go
+++ b/director/explain.go
@@ -26,24 +26,28 @@
 // doesn't tell whether a cold target has used up its rate; Decide would pass such a target
 // over.
 func (d *Director) Explain(now time.Time, p *Packet) Explanation {
-	route, ok := d.routes[p.Destination]
-	if !ok {
-		refusal := Decision{Action: Reset, Reason: ReasonNoRoute}
-		if !d.configured {
-			refusal = Decision{Action: Drop, Reason: ReasonNoView}
-		}
+	if !d.configured {
+		refusal := Decision{Action: Drop, Reason: ReasonNoView}
 		return Explanation{Opening: refusal, Established: refusal}
 	}
 	key := flowKey(p)
-	e := Explanation{Route: route.Name, Service: pickService(key, route.Backends)}
 	f := d.flows.find(key)
-	e.Tracked = f != nil
-	e.Opening = d.explainOpening(now, key, f, e.Service)
+	e := Explanation{Tracked: f != nil}
+	route, routed := d.routes[p.Destination]
+	if routed {
+		e.Route, e.Service = route.Name, pickService(key, route.Backends)
+		e.Opening = d.explainOpening(now, key, f, e.Service)
+	} else {
+		since, sought := d.absentRoutes.sought(p.Destination)
+		e.Opening = refuse(sought && d.isAbsent(now, since), ReasonNoRoute, ReasonUnknownRoute)
+	}
 	token := e.Opening.Token
 	if f != nil && f.pinned != 0 {
 		token = f.pinned
 	}
 	switch m, ok := d.tokens.Find(now, token); {
+	case !routed && f != nil && d.viewCovers(f.firstSeen):
+		e.Established = Decision{Action: Reset, Reason: ReasonNoRoute}
 	case token == 0:
 		e.Established = Decision{Action: Drop, Reason: ReasonNoToken}
 	case !ok:
@@ -53,7 +57,7 @@
 	case d.mayReset(m, route):
 		e.Established = Decision{Action: Reset, Reason: ReasonTargetUnreachable, Target: &m.Target, Token: token}
 	default:
-		e.Established = Decision{Action: Forward, Reason: ReasonFlow, Target: &m.Target, Token: token}
+		e.Established = Decision{Action: Forward, Reason: flowReason(routed), Target: &m.Target, Token: token}
 	}
 	return e
 }
@@ -67,18 +71,17 @@
 			}
 		}
 	}
-	p := d.pools[service]
-	if p == nil {
-		return Decision{Action: Reset, Reason: ReasonNoTarget}
-	}
-	m := d.chooseLocal(now, key, p)
-	if m == nil {
-		m = d.bestRanked(now, key, p, nil)
-	}
-	if m != nil {
-		return d.forwardOpening(m, ReasonOpening)
+	if p := d.pools[service]; p != nil {
+		m := d.chooseLocal(now, key, p)
+		if m == nil {
+			m = d.bestRanked(now, key, p, nil)
+		}
+		if m != nil {
+			return d.forwardOpening(m, ReasonOpening)
+		}
 	}
-	return Decision{Action: Reset, Reason: ReasonNoTarget}
+	since, sought := d.absentTargets.sought(service)
+	return refuse(sought && d.isAbsent(now, since), ReasonNoTarget, ReasonUnknownTarget)
 }
 
 // HealthSummary lists the targets and availability zones that get no new flows or get them
--- a/director/flows.go
+++ b/director/flows.go
@@ -24,7 +24,9 @@
 type flow struct {
 	source      netip.AddrPort
 	destination netip.AddrPort
-	lastSeen    time.Time
+	// firstSeen and lastSeen are the times of the first and the last packet that arrived here.
+	firstSeen time.Time
+	lastSeen  time.Time
 	// openingToken names the target that the opening packet was sent to, and openingSentAt
 	// is when it was first sent. openingToken is 0 if the packet wasn't sent from here.
 	openingToken  tokenizer.Token
@@ -135,7 +137,7 @@
 	if len(t.byKey) >= maxTrackedFlows {
 		return nil
 	}
-	f := &flow{source: p.Source, destination: p.Destination, lastSeen: now}
+	f := &flow{source: p.Source, destination: p.Destination, firstSeen: now, lastSeen: now}
 	if p.Opening {
 		f.openingSequence, f.openingSeen = p.Sequence, true
 	}
--- a/director/removed.go
+++ b/director/removed.go
@@ -65,9 +65,11 @@
 // has reports whether a target was removed.
 func (t *removedTargets) has(m *member) bool { return t.find(m.ID) == m }
 
-// confirmed reports whether a removed target counts as gone for good.
-func (t *removedTargets) confirmed(now time.Time, m *member) bool {
-	return !now.Before(t.byID[m.ID].confirmedAt)
+// confirmed reports whether a removed target counts as gone for good. A target that wasn't
+// draining may have registered again after viewedAt, when the store last confirmed the view.
+func (t *removedTargets) confirmed(now, viewedAt time.Time, m *member) bool {
+	r := t.byID[m.ID]
+	return !now.Before(r.confirmedAt) && (m.Draining || !viewedAt.Before(r.confirmedAt))
 }
 
 // expire forgets the targets that were removed more than removedTargetTTL ago.
--- a/director/unreachable_test.go
+++ b/director/unreachable_test.go
@@ -144,6 +144,7 @@
 
 	d.RemoveTarget(start, "t-2")
 	is.Equal(d.Decide(start, data(2, board, tokenizer.Of(2), 1, 1)).Reason, director.ReasonTargetLapsed)
+	d.SetConfirmed(start.Add(afterLapseGrace))
 	is.Equal(d.Decide(start.Add(afterLapseGrace), data(2, board, tokenizer.Of(2), 1, 1)).Reason, director.ReasonTargetGone)
 	d.SetTarget(start.Add(afterLapseGrace), target(2)) // it was still running
 	is.Equal(d.Decide(start.Add(afterLapseGrace), data(2, board, tokenizer.Of(2), 1, 1)).Reason, director.ReasonFlow)
@@ -176,6 +177,7 @@
 	}
 	is.Equal(d.Decide(start, opening(1, 0)).Action, director.Forward)
 	d.SetTarget(start.Add(time.Second), target(2))
+	d.SetConfirmed(back)
 	d.Tick(back)
 	is.Equal(d.Targets(), 1)
 	for n := range 50 {
--- a/director/view.go
+++ b/director/view.go
@@ -92,9 +92,16 @@
 	}
 	d.configured = true
 	d.version = c.Version
+	before := d.routes
 	d.routes = make(map[netip.AddrPort]Route, len(c.Routes))
 	for _, r := range c.Routes {
 		d.routes[r.Address] = r
+		d.absentRoutes.end(r.Address)
+	}
+	for address := range before {
+		if _, kept := d.routes[address]; !kept {
+			d.absentRoutes.addRemoved(address)
+		}
 	}
 	d.services = make(map[string]Service, len(c.Services))
 	for _, s := range c.Services {
@@ -173,9 +180,10 @@
 	}
 }
 
-// removeLapsed removes the targets that have not registered again by the end of an outage.
+// removeLapsed removes the targets that have not registered again by the end of an outage, as
+// the store has confirmed since.
 func (d *Director) removeLapsed(now time.Time) {
-	if now.Before(d.outageEnd) {
+	if now.Before(d.outageEnd) || d.confirmedAt.Before(d.outageEnd) {
 		return
 	}
 	for _, m := range d.byName {
