--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -247,21 +247,26 @@
 // fetch requests an update from a source, the store or a peer, and records the duration
 // and the error in the metrics.
 func (b *Balancer) fetch(ctx context.Context, s follower.Source, after uint64, wait time.Duration) (replicator.Update, error) {
-	start, requested := time.Now(), b.ViewClock()
+	start := time.Now()
 	fetchFrom, kind := b.fetchPeer, sourcePeer
 	if s.IsStore() {
 		fetchFrom, kind = b.fetchStore, sourceStore
 	}
 	u, err := fetchFrom(ctx, s, after, wait)
 	b.metrics.recordFetch(kind, start, err)
-	u.Age += addedAge(b.ViewClock().Sub(requested), wait)
 	return u, err
 }
 
 func (b *Balancer) fetchPeer(ctx context.Context, s follower.Source, after uint64, wait time.Duration) (replicator.Update, error) {
-	return b.view.requestUpdate(ctx, s.Peer.Address, after, wait)
+	requested := b.ViewClock()
+	u, waited, err := b.view.requestUpdate(ctx, s.Peer.Address, after, wait)
+	u.Age += follower.PeerAnswerAge(b.ViewClock().Sub(requested), waited)
+	return u, err
 }
 
 func (b *Balancer) fetchStore(ctx context.Context, _ follower.Source, after uint64, wait time.Duration) (replicator.Update, error) {
-	return b.directory.Fetch(ctx, after, wait)
+	requested := b.ViewClock()
+	u, err := b.directory.Fetch(ctx, after, wait)
+	u.Age += follower.StoreAnswerAge(u, b.ViewClock().Sub(requested), wait)
+	return u, err
 }
--- a/balancer/peers.go
+++ b/balancer/peers.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -45,6 +46,9 @@
 	// cacheAgeHeader names the header that holds the age of the encoded response in
 	// milliseconds. The receiver adds it to the age of the update.
 	cacheAgeHeader = "Held-Ms"
+	// waitedHeader names the header that holds the time in milliseconds from the arrival of
+	// the request until the age of the update was determined.
+	waitedHeader = "Waited-Ms"
 )
 
 // newPeerClient returns a client for requests to peers.
@@ -74,8 +78,8 @@
 }
 
 // requestUpdate requests the changes after a revision from the peer at an address. The
-// peer waits up to wait for a change.
-func (v *view) requestUpdate(ctx context.Context, address string, after uint64, wait time.Duration) (replicator.Update, error) {
+// peer waits up to wait for a change. requestUpdate also returns how long the peer waited.
+func (v *view) requestUpdate(ctx context.Context, address string, after uint64, wait time.Duration) (replicator.Update, time.Duration, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+peerResponseMargin)
 	defer cancel()
 	query := url.Values{
@@ -84,7 +88,7 @@
 	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+viewPath+"?"+query.Encode(), nil)
 	if err != nil {
-		return replicator.Update{}, errors.Wrapf(err, "requesting the view from peer %s", address)
+		return replicator.Update{}, 0, errors.Wrapf(err, "requesting the view from peer %s", address)
 	}
 	client := v.client
 	if !v.usable {
@@ -92,29 +96,33 @@
 	}
 	res, err := client.Do(req)
 	if err != nil {
-		return replicator.Update{}, errors.Wrapf(err, "requesting the view from peer %s", address)
+		return replicator.Update{}, 0, errors.Wrapf(err, "requesting the view from peer %s", address)
 	}
 	defer res.Body.Close()
 	data, err := io.ReadAll(io.LimitReader(res.Body, maxPeerResponseBytes))
 	if err != nil {
-		return replicator.Update{}, errors.Wrapf(err, "requesting the view from peer %s", address)
+		return replicator.Update{}, 0, errors.Wrapf(err, "requesting the view from peer %s", address)
 	}
 	if res.StatusCode != http.StatusOK {
-		return replicator.Update{}, &PeerError{address: address, status: res.StatusCode}
+		return replicator.Update{}, 0, &PeerError{address: address, status: res.StatusCode}
 	}
 	var u replicator.Update
 	if err := cbor.Unmarshal(data, &u); err != nil {
-		return replicator.Update{}, errors.Wrapf(err, "decoding the response of peer %s", address)
+		return replicator.Update{}, 0, errors.Wrapf(err, "decoding the response of peer %s", address)
 	}
 	cacheAgeMs, err := strconv.ParseInt(res.Header.Get(cacheAgeHeader), 10, 64)
 	if err != nil {
-		return replicator.Update{}, errors.Wrapf(err, "decoding the response of peer %s: header %s", address, cacheAgeHeader)
+		return replicator.Update{}, 0, errors.Wrapf(err, "decoding the response of peer %s: header %s", address, cacheAgeHeader)
 	}
 	u.Age += time.Duration(cacheAgeMs) * time.Millisecond
+	waitedMs, err := strconv.ParseInt(cmp.Or(res.Header.Get(waitedHeader), "0"), 10, 64)
+	if err != nil {
+		return replicator.Update{}, 0, errors.Wrapf(err, "decoding the response of peer %s: header %s", address, waitedHeader)
+	}
 	if u.Revision == 0 {
-		return replicator.Update{}, errors.Wrapf(errNoView, "requesting the view from peer %s", address)
+		return replicator.Update{}, 0, errors.Wrapf(errNoView, "requesting the view from peer %s", address)
 	}
-	return u, nil
+	return u, time.Duration(waitedMs) * time.Millisecond, nil
 }
 
 // servePeers serves the view to other balancers until ctx ends.
@@ -137,9 +145,11 @@
 		http.Error(w, waitParameter+" must be a whole number of milliseconds", http.StatusBadRequest)
 		return
 	}
+	arrived := b.ViewClock()
 	u := b.awaitUpdate(r.Context(), after, min(time.Duration(ms)*time.Millisecond, maxPeerWait))
+	waited := b.ViewClock().Sub(arrived)
 	b.compressItems(u.Items)
-	res, err := b.responses.encode(time.Now(), after, u)
+	res, err := b.responses.encode(b.ViewClock(), after, u)
 	if err != nil {
 		b.log.Error("cannot encode view for peer", "cause", err.Error())
 		http.Error(w, "encoding failed", http.StatusInternalServerError)
@@ -148,7 +158,8 @@
 	if res.compressed {
 		w.Header().Set("Content-Encoding", "gzip")
 	}
-	w.Header().Set(cacheAgeHeader, strconv.FormatInt(time.Since(res.encodedAt).Milliseconds(), 10))
+	w.Header().Set(cacheAgeHeader, strconv.FormatInt(b.ViewClock().Sub(res.encodedAt).Milliseconds(), 10))
+	w.Header().Set(waitedHeader, strconv.FormatInt(waited.Milliseconds(), 10))
 	if _, err := w.Write(res.body); err != nil {
 		b.metrics.peerResponsesLost.Inc()
 	}
--- a/balancer/viewclock.go
+++ b/balancer/viewclock.go
@@ -25,16 +25,6 @@
 	return time.Unix(t.Unix())
 }
 
-// maxAnswerDelay is the time beyond the requested wait that an answer may take before its
-// content counts as older than the answer says.
-const maxAnswerDelay = 500 * time.Millisecond
-
-// addedAge returns how much older the content of an answer may be than the answer says: an
-// answer may have waited in the socket while this process or its VM stood still.
-func addedAge(elapsed, wait time.Duration) time.Duration {
-	return max(elapsed-wait-maxAnswerDelay, 0)
-}
-
 // maxBeatGap is the time between two beats from which on the process stood still in
 // between. It beats at least every tickInterval while it runs.
 const maxBeatGap = 2 * tickInterval
--- a/follower/core.go
+++ b/follower/core.go
@@ -9,12 +9,15 @@
 // needs no agreement. A source that fails or returns stale data is not queried again
 // until a backoff has passed.
 //
+// Whatever its sources do, a balancer whose own view becomes stale queries the store next.
+// The age of a view is an upper bound: each answer counts as old as it can be.
+//
 // # Usage
 //
 //	core := follower.NewCore(self)
 //	core.SetPeers(peers)
-//	source := core.Next(now)
-//	update, err := fetch(source)
+//	source, _ := core.Next(now)
+//	update, err := fetch(source, core.Wait(now, source))
 //	core.RecordResult(now, source, update.Age, err != nil)
 //
 // Core makes the decisions. It has no clock, does no input or output, and is not safe
@@ -34,9 +37,17 @@
 	// two, the failure of one delays no change for the half of the zone that queries
 	// the other.
 	readersPerZone = 2
-	// staleAge is the age above which an answer is stale. It is about one and a half
-	// times 1.6 s, the maximum age of the view of a balancer whose reader works.
-	staleAge = 2500 * time.Millisecond
+	// staleAge is the age above which an answer or the own view is stale. It exceeds
+	// maxReaderAge plus peerWait, and leaves time for a query that fails and one to the
+	// store before a view is 3 s old.
+	staleAge = 1800 * time.Millisecond
+	// maxReaderAge is the age that a reader's view may reach before the store's next answer.
+	maxReaderAge = 1250 * time.Millisecond
+	// minStoreWait is the least time that a query lets the store wait for a change.
+	minStoreWait = 100 * time.Millisecond
+	// answerMargin is the time beyond the wait in which a peer's answer is expected, so
+	// that it arrives before the own view is stale.
+	answerMargin = 200 * time.Millisecond
 	// initialBackoff is how long a peer is not queried after its first failure or stale
 	// answer. The backoff doubles with each consecutive one, up to maxBackoff.
 	initialBackoff = 2 * time.Second
@@ -137,6 +148,8 @@
 	// lastPeerFailure the time of the last one.
 	peerFailures    int
 	lastPeerFailure time.Time
+	// confirmedAt is when the store last confirmed the view, or zero before the first view.
+	confirmedAt time.Time
 	// lastFreshAnswer is the time of the last answer that was not stale, and
 	// lastFreshPeer the last peer that gave such an answer.
 	lastFreshAnswer time.Time
@@ -238,6 +251,9 @@
 func (c *Core) Next(now time.Time) (Source, time.Duration) {
 	readers := c.activeReaders(now)
 	retry := c.stateOf("").backoffUntil
+	if c.viewAge(now) > staleAge && !now.Before(retry) {
+		return Source{}, 0
+	}
 	peerFailures := c.peerFailures
 	if now.Sub(c.lastPeerFailure) > maxBackoff {
 		peerFailures = 0
@@ -262,6 +278,24 @@
 	return Source{}, retry.Sub(now)
 }
 
+// Wait returns how long the source s may wait for a change before it answers a query that
+// begins now. The wait is shorter if the view is old already.
+func (c *Core) Wait(now time.Time, s Source) time.Duration {
+	age := c.viewAge(now)
+	if s.IsStore() {
+		return min(max(maxReaderAge-age, minStoreWait), storeWait)
+	}
+	return min(max(staleAge-answerMargin-age, 0), peerWait)
+}
+
+// viewAge returns the age of the view, or 0 before the first view.
+func (c *Core) viewAge(now time.Time) time.Duration {
+	if c.confirmedAt.IsZero() {
+		return 0
+	}
+	return now.Sub(c.confirmedAt)
+}
+
 // activeReaders returns the readers of the own zone as this balancer sees them: the
 // first zone members that are not in backoff, this balancer included.
 func (c *Core) activeReaders(now time.Time) []Peer {
@@ -306,6 +340,9 @@
 // returned, or that the query failed.
 func (c *Core) RecordResult(now time.Time, s Source, age time.Duration, failed bool) {
 	state := c.stateOf(s.Peer.Address)
+	if confirmedAt := now.Add(-age); !failed && confirmedAt.After(c.confirmedAt) {
+		c.confirmedAt = confirmedAt
+	}
 	if !failed {
 		c.starting = false
 		c.firstViewAttempts = 0
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -10,12 +10,12 @@
 )
 
 const (
-	// storeWait is how long the store waits for a change before it answers a query.
+	// storeWait is how long the store waits at most for a change before it answers a query.
 	// It bounds the age of a reader's data, and the time that a silent connection
 	// goes unnoticed. A shorter wait would make more calls to the platform, which
 	// counts them.
 	storeWait = time.Second
-	// peerWait is how long a peer waits for a change before it answers a query.
+	// peerWait is how long a peer waits at most for a change before it answers a query.
 	peerWait = 500 * time.Millisecond
 	// storePause is the pause after an answer of the store that contains changes, so
 	// that several changes within it cost one call.
@@ -105,11 +105,7 @@
 
 // queryOnce queries source once, merges its update, and returns how long to pause.
 func (f *Follower) queryOnce(ctx context.Context, source Source) time.Duration {
-	wait := peerWait
-	if source.IsStore() {
-		wait = storeWait
-	}
-	update, err := f.Fetch(ctx, source, f.Revision(), wait)
+	update, err := f.Fetch(ctx, source, f.Revision(), f.core.Wait(time.Now(), source))
 	if ctx.Err() != nil {
 		return 0
 	}
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -128,6 +128,7 @@
 		c.RecordResult(start, s, 10*time.Second, false)
 		next, _ := c.Next(start)
 		is.True(next.Peer != s.Peer)
+		c.RecordResult(start.Add(time.Minute), follower.Source{}, 0, false)
 		later, _ := c.Next(start.Add(time.Minute))
 		is.Equal(later.Peer, s.Peer) // the backoff is over
 	}
