--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -124,6 +124,8 @@
 	viewReady chan struct{}
 	// earlierLease passes the lease of an earlier run's registration to the registrar, or 0.
 	earlierLease chan uint64
+	// registrationLost tells the registrar that the view has lost the registration.
+	registrationLost chan struct{}
 
 	responses responseCache
 	follower  *follower.Follower
@@ -147,9 +149,12 @@
 	b.director.SetRegions(settings.Regions)
 	b.viewReady = make(chan struct{})
 	b.earlierLease = make(chan uint64, 1)
+	b.registrationLost = make(chan struct{}, 1)
 	b.checkQueue = make(chan director.Check, checkQueueSize)
 	b.seeds.Store(&settings.Seeds)
 	b.view.init()
+	b.view.fleet = director.NewFleet(settings.Name, settings.AvailabilityZone)
+	b.director.SetFleet(time.Now(), b.view.fleet)
 	b.metrics = newMetricSet(b)
 	b.follower = b.newFollower()
 	return b
@@ -212,6 +217,7 @@
 		case now := <-ticker.C:
 			b.mu.Lock()
 			b.view.pulse.beat(b.ViewClock())
+			b.director.SetFleet(now, b.view.fleet)
 			b.director.Tick(now)
 			checks := b.director.TakeChecks()
 			b.mu.Unlock()
--- a/balancer/registrar.go
+++ b/balancer/registrar.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"trefoilspring.example/trefoilspring/director"
 )
 
 const (
@@ -51,12 +54,23 @@
 		}
 		select {
 		case <-ctx.Done():
+		case <-r.balancer.registrationLost:
+			// The others may have lost theirs at the same moment.
+			sleep(ctx, rand.N(director.ReregistrationSpread))
 		case <-time.After(wait):
 		}
 	}
 	return nil
 }
 
+// sleep waits for d or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
 // renewOrRegister renews the lease. If the lease has ended or the view lacks the
 // registration, it registers the balancer with a new lease.
 func (r *registrar) renewOrRegister(ctx context.Context) error {
--- a/balancer/registrar_test.go
+++ b/balancer/registrar_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
 	"trefoilspring.example/trefoilspring/balancer"
+	"trefoilspring.example/trefoilspring/director"
 	"trefoilspring.example/trefoilspring/platform"
 )
 
@@ -75,3 +77,16 @@
 	s.setDown(false)
 	n.awaitPeers(t, 1)
 }
+
+// Guards against a balancer that the others don't count for up to 6 s, until its next
+// renewal, after its lease ran out while the store was down.
+func TestLostRegistrationIsWrittenAgainAtOnce(t *testing.T) {
+	is := is.New(t)
+	n, s := newRegisteredNode(t)
+	s.endedLeases.Store(1)
+	lost := time.Now()
+	s.set("trefoilspring/balancers/n1", "")
+	eventually(t, "second lease", func() bool { return s.leases.Load() == 2 })
+	is.True(time.Since(lost) < director.ReregistrationSpread+2*time.Second) // the view's lag
+	n.awaitPeers(t, 1)
+}
--- a/balancer/view.go
+++ b/balancer/view.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"trefoilspring.example/trefoilspring/director"
 	"trefoilspring.example/trefoilspring/follower"
 	"trefoilspring.example/trefoilspring/logger"
 	"trefoilspring.example/trefoilspring/replicator"
@@ -32,14 +33,18 @@
 // guards it.
 type view struct {
 	replica replicator.Replica
-	// peers holds the registered balancers by name, including this one.
+	// peers holds the registered balancers by name, including this one, and fleet counts
+	// them.
 	peers map[string]follower.Peer
+	fleet *director.Fleet
 	// changed is closed and replaced whenever the replica changes.
 	changed chan struct{}
 	// client fetches updates from peers.
 	client *http.Client
 	// firstViewClient replaces client until usable is set.
 	firstViewClient *http.Client
+	// first is true while the first update is merged.
+	first bool
 	// usable is set when a configuration first comes into force.
 	usable        bool
 	changeLimiter *logger.Limiter
@@ -76,6 +81,7 @@
 		b.log.Warn("view was out of date", "age-ms", age.Milliseconds(),
 			"stood-still-ms", stoodStill.Milliseconds(), "source", s.String())
 	}
+	v.first = v.replica.Revision() == 0
 	changed := v.replica.Merge(u, viewNow)
 	for _, item := range changed {
 		b.apply(now, item, s)
@@ -264,25 +270,34 @@
 func (b *Balancer) applyPeer(now time.Time, name string, item replicator.Item) {
 	log := b.log
 	if item.Removed {
-		delete(b.view.peers, name)
+		b.removePeer(now, name)
 		if b.mayLogChange(now, &log) {
 			log.Info("balancer left", "peer", name)
 		}
 	} else if p, _, ok := b.decodePeer(name, item); !ok {
-		delete(b.view.peers, name) // the peer's own registration was overwritten
+		b.removePeer(now, name) // the peer's own registration was overwritten
 	} else {
 		b.view.peers[name] = p
+		b.view.fleet.Register(now, name, p.AvailabilityZone, b.view.first)
 		if b.view.usable && b.mayLogChange(now, &log) {
 			log.Info("balancer registered", "peer", name, "zone", p.AvailabilityZone)
 		}
 	}
-	sameZone := 0
-	for _, p := range b.view.peers {
-		if p.AvailabilityZone == b.settings.AvailabilityZone {
-			sameZone++
-		}
+	b.director.SetFleet(now, b.view.fleet)
+}
+
+// removePeer removes a balancer whose registration was removed. If it is this one, the
+// registrar is told. b.mu must be held.
+func (b *Balancer) removePeer(now time.Time, name string) {
+	delete(b.view.peers, name)
+	b.view.fleet.Remove(now, name)
+	if name != b.settings.Name {
+		return
+	}
+	select {
+	case b.registrationLost <- struct{}{}:
+	default:
 	}
-	b.director.SetBalancerCounts(len(b.view.peers), sameZone)
 }
 
 // awaitUpdate returns the changes after a revision as soon as there are any. If wait passes
--- a/director/chooser.go
+++ b/director/chooser.go
@@ -43,7 +43,7 @@
 
 // admitOpening reports whether a target accepts one more new flow now. A cold target accepts
 // only this balancer's share of the service's ColdRate, and each admitted flow counts against
-// this share. A target without a token of its own accepts none.
+// this share. It accepts none while the number of balancers is unknown. A target without a token of its own accepts none.
 func (d *Director) admitOpening(now time.Time, m *member) bool {
 	if d.tokens.Issue(m.ID) == 0 {
 		return false
@@ -52,7 +52,7 @@
 		return true
 	}
 	rate := d.services[m.Service].ColdRate
-	return rate <= 0 || m.pacer.Take(now, rate, d.balancers, d.balancerOffset(m))
+	return rate <= 0 || !d.fleetUnknown && m.pacer.Take(now, rate, d.balancers, d.balancerOffset(m))
 }
 
 // balancerOffset returns a number between 0 and 1 for a target, which differs between
--- a/director/director.go
+++ b/director/director.go
@@ -128,6 +128,9 @@
 	// zone.
 	balancers     int
 	zoneBalancers int
+	// fleetUnknown reports whether there may be more balancers. Cold targets then get no
+	// flows from this one.
+	fleetUnknown bool
 	// outageEnd is the time before which a removed registration doesn't mean that its
 	// target has ended, since the store was unreachable.
 	outageEnd time.Time
