director: drop copies of openings that may be late, never reset them (FLOW)

A copy waited for 1.4 s in the socket of a balancer without processor time; the hash had changed, and the flow had been opened through another balancer (logs: opening-unknown on one balancer, opening on another 1.4 s before; 53 decisions, and 35 opening-unanswered).

Change: a copy whose first one may have reached a target is forwarded to that target or dropped. Resets remain for first copies, and for copies whose first one was dropped here.

Ruled out: load alone (the logs show the order of events); ignoring it as callers do.

Price: a caller whose first copy went to a dead balancer or target gives up after 1.4 s.

--- a/balancer/explain.go
+++ b/balancer/explain.go
@@ -107,7 +107,7 @@
 	director.ReasonNoTarget:          "no target of the service accepts new flows",
 	director.ReasonUnknownTarget:     "no registered target of the service accepts new flows, but one may just have registered",
 	director.ReasonTargetGone:        "the target that the token names was removed",
-	director.ReasonOpeningAnswered:   "the flow is open, and its target takes no new flows",
+	director.ReasonOpeningRefused:    "the flow was seen in the last seconds, and its target takes no new flows",
 	director.ReasonTargetUnreachable: "the target is unreachable, and the request may be repeated on another target",
 	director.ReasonTargetLapsed:      "the target's registration lapsed, but it may live",
 	director.ReasonNoToken:           "no target accepts the flow, so its packets have no token to carry",
--- a/director/checks.go
+++ b/director/checks.go
@@ -54,8 +54,8 @@
 }
 
 // RecordVerdict records the verdict of a check. If the target is newly found unreachable,
-// RecordVerdict returns the flows to reset: those that the target hasn't opened, and those
-// whose callers wait for an answer and may repeat their requests.
+// RecordVerdict returns the flows to reset: those whose callers wait for an answer and may
+// repeat their requests.
 func (d *Director) RecordVerdict(now time.Time, c Check, v Verdict) []Packet {
 	d.pendingChecks--
 	m := d.checkedMember(c)
@@ -95,20 +95,11 @@
 	return m
 }
 
-// attemptTimeout is how long a caller tries to open a flow.
-const attemptTimeout = 1400 * time.Millisecond
-
 // waitingFlows returns the flows of an unreachable target whose callers wait for an answer
-// and may repeat their requests elsewhere, or wait for the flow to open.
+// and may repeat their requests elsewhere.
 func (d *Director) waitingFlows(now time.Time, m *member) []Packet {
 	var waiting []Packet
 	for _, f := range d.flows.byKey {
-		if f.pinned == 0 && f.openingToken != 0 && !m.Draining && now.Sub(f.openingSentAt) < attemptTimeout {
-			if opening, ok := d.tokens.Find(now, f.openingToken); ok && opening == m {
-				waiting = append(waiting, Packet{Source: f.source, Destination: f.destination, Opening: true})
-			}
-			continue
-		}
 		if f.waitingSince.IsZero() || !d.mayReset(m, d.routes[f.destination]) {
 			continue
 		}
--- a/director/director.go
+++ b/director/director.go
@@ -78,8 +78,7 @@
 	ReasonOpening           Reason = "opening"            // a target was chosen for a new flow
 	ReasonOpeningRepeated   Reason = "opening-repeated"   // a repeated opening packet goes to the same target
 	ReasonOpeningUnknown    Reason = "opening-unknown"    // a retransmitted opening packet whose first copy didn't pass here
-	ReasonOpeningUnanswered Reason = "opening-unanswered" // the target left the opening packet unanswered
-	ReasonOpeningAnswered   Reason = "opening-answered"   // a late opening packet of a flow that is open
+	ReasonOpeningRefused    Reason = "opening-refused"    // a repeated opening packet whose target takes no new flows
 	ReasonNoRoute           Reason = "no-route"           // no route has the destination address, as the store confirmed
 	ReasonUnknownRoute      Reason = "unknown-route"      // the view has no route with the destination address, but may lag behind
 	ReasonNoTarget          Reason = "no-target"          // no target of the service accepts the flow
@@ -191,9 +190,13 @@
 
 // decideUnroutedOpening decides on an opening packet that no route is known for. Unless the
 // view is known to be complete, the packet is dropped, and a retransmission may find the
-// route. A caller that is reset would try again at once and use up its attempts.
+// route. A caller that is reset would try again at once and use up its attempts. A
+// retransmission whose first copy didn't arrive here is dropped too: the flow may be open.
 func (d *Director) decideUnroutedOpening(now time.Time, p *Packet) Decision {
-	decision := refuse(d.isAbsent(now, d.absentRoutes.seek(now, p.Destination)), ReasonNoRoute, ReasonUnknownRoute)
+	since := d.absentRoutes.seek(now, p.Destination)
+	f := d.flows.find(flowKey(p))
+	firstSeen := p.Retransmissions == 0 || f != nil && f.openingSeen
+	decision := refuse(firstSeen && d.isAbsent(now, since), ReasonNoRoute, ReasonUnknownRoute)
 	d.trackDropped(now, p, decision)
 	return decision
 }
@@ -294,8 +297,10 @@
 // An opening packet and its retransmissions go to one target only. If a second target
 // answered too, the caller would echo its token for as long as that target repeats its
 // answer, and a balancer that saw none of the flow's earlier packets would forward the
-// flow to the wrong target. An attempt that can't go on at its target is reset instead,
-// and the caller opens another flow. Callers ignore this reset if the flow is open by then.
+// flow to the wrong target.
+//
+// An opening packet whose first copy may have reached a target is never answered with a
+// reset: it may have waited for long, and the flow may be open by now.
 func (d *Director) decideOpening(now time.Time, p *Packet, route Route) Decision {
 	key := flowKey(p)
 	f := d.flows.find(key)
@@ -306,13 +311,16 @@
 	switch {
 	case f != nil && f.pinned != 0:
 		f.lastSeen = now
-		return d.decideLateOpening(now, f)
+		return d.decideRepeatedOpening(now, f.pinned)
 	case f != nil && f.openingToken != 0:
 		f.lastSeen = now
-		return d.decideRepeatedOpening(now, p, f)
+		if p.Retransmissions > 0 {
+			d.recordRetransmittedOpening(now, f)
+		}
+		return d.decideRepeatedOpening(now, f.openingToken)
 	case p.Retransmissions > 0 && (f == nil || !f.openingSeen):
 		// Another balancer may have sent the first copy to a target that can't be known here.
-		return Decision{Action: Reset, Reason: ReasonOpeningUnknown}
+		return Decision{Action: Drop, Reason: ReasonOpeningUnknown}
 	}
 	m := d.choose(now, key, route)
 	if m == nil {
@@ -338,39 +346,25 @@
 	return decision
 }
 
-// decideLateOpening decides on an opening packet that arrives after a later packet of its
-// flow. The flow is open, so the packet matters to nobody but its target.
-func (d *Director) decideLateOpening(now time.Time, f *flow) Decision {
-	m, ok := d.registered(now, f.pinned)
+// decideRepeatedOpening decides on a further opening packet of a flow whose token is known. It
+// goes to the token's target, unless that takes no new flows.
+func (d *Director) decideRepeatedOpening(now time.Time, token tokenizer.Token) Decision {
+	m, ok := d.registered(now, token)
 	if !ok || !d.acceptsNewFlows(m) {
-		return Decision{Action: Drop, Reason: ReasonOpeningAnswered}
+		return Decision{Action: Drop, Reason: ReasonOpeningRefused}
 	}
-	return Decision{Action: Forward, Reason: ReasonOpeningRepeated, Target: &m.Target, Token: f.pinned}
+	return Decision{Action: Forward, Reason: ReasonOpeningRepeated, Target: &m.Target, Token: token}
 }
 
-// openingTimeout is how long a target that answers no flow may leave an opening packet
-// unanswered. Callers retransmit an opening packet after 200 ms and 600 ms, and targets
-// repeat a lost answer in the same intervals.
-const openingTimeout = 400 * time.Millisecond
-
-// decideRepeatedOpening decides on a further opening packet of a flow whose first one was
-// forwarded. It goes to the same target as long as that target may answer it.
-func (d *Director) decideRepeatedOpening(now time.Time, p *Packet, f *flow) Decision {
+// recordRetransmittedOpening records that a caller has not received the answer to an opening
+// packet, and requests a check of its target unless that has answered another flow since.
+func (d *Director) recordRetransmittedOpening(now time.Time, f *flow) {
 	m, ok := d.registered(now, f.openingToken)
-	switch {
-	case !ok || !d.acceptsNewFlows(m):
-		return Decision{Action: Reset, Reason: ReasonTargetGone}
-	case m.health.unreachable:
-		return Decision{Action: Reset, Reason: ReasonTargetUnreachable, Target: &m.Target, Token: f.openingToken}
-	case p.Retransmissions == 0 || m.health.answeredSince(f.openingSentAt):
-		return Decision{Action: Forward, Reason: ReasonOpeningRepeated, Target: &m.Target, Token: f.openingToken}
+	if !ok || m.health.answeredSince(f.openingSentAt) {
+		return
 	}
 	m.health.recordUnansweredOpening(now)
 	d.requestCheck(now, m)
-	if now.Sub(f.openingSentAt) >= openingTimeout {
-		return Decision{Action: Reset, Reason: ReasonOpeningUnanswered}
-	}
-	return Decision{Action: Forward, Reason: ReasonOpeningRepeated, Target: &m.Target, Token: f.openingToken}
 }
 
 // forwardOpening returns the decision to forward an opening packet to a target.
