Read the change as a newcomer: names, stale comments, an error without a log line

A watch's response that can't be read was replaced by a listing without a word; the store's client now reports it, and `balance` logs it. Renamed where a name stood for two things or needed its comment: faults and violations of a history, the fleet and the counts of a member, the states of a store.

--- a/balancer/view.go
+++ b/balancer/view.go
@@ -43,8 +43,8 @@
 	client *http.Client
 	// firstViewClient replaces client until usable is set.
 	firstViewClient *http.Client
-	// first is true while the first update is merged.
-	first bool
+	// mergingFirst reports whether the update that is being merged is the first one.
+	mergingFirst bool
 	// usable is set when a configuration first comes into force.
 	usable        bool
 	changeLimiter *logger.Limiter
@@ -81,7 +81,7 @@
 		b.log.Warn("view was out of date", "age-ms", age.Milliseconds(),
 			"stood-still-ms", stoodStill.Milliseconds(), "source", s.String())
 	}
-	v.first = v.replica.Revision() == 0
+	v.mergingFirst = v.replica.Revision() == 0
 	changed := v.replica.Merge(u, viewNow)
 	for _, item := range changed {
 		b.apply(now, item, s)
@@ -278,7 +278,7 @@
 		b.removePeer(now, name) // the peer's own registration was overwritten
 	} else {
 		b.view.peers[name] = p
-		b.view.fleet.Register(now, name, p.AvailabilityZone, b.view.first)
+		b.view.fleet.Register(now, name, p.AvailabilityZone, b.view.mergingFirst)
 		if b.view.usable && b.mayLogChange(now, &log) {
 			log.Info("balancer registered", "peer", name, "zone", p.AvailabilityZone)
 		}
--- a/cmd_balance.go
+++ b/cmd_balance.go
@@ -55,6 +55,9 @@
 	logWriter := logger.New(os.Stdout)
 	log := slog.New(slog.NewJSONHandler(logWriter, &slog.HandlerOptions{Level: level}))
 	store := platform.NewStore(settings.StoreAddress())
+	store.OnUnreadable = func(err error) {
+		log.Warn("cannot read the store's changes; listing all keys", "cause", err.Error())
+	}
 	b := balancer.New(withMetricsAddress(settings), platform.Fabric(), platform.Directory(store), log)
 	b.Hangup = hangup
 	b.LoadSettings = func() (balancer.Settings, error) {
--- a/director/absences.go
+++ b/director/absences.go
@@ -3,7 +3,7 @@
 import "time"
 
 const (
-	// confirmationSlack allows for the error in the age of a view.
+	// confirmationSlack allows for the granularity of the clocks that ages are measured by.
 	confirmationSlack = 500 * time.Millisecond
 	// maxConclusionAge is the age of the view above which nothing is concluded from what
 	// it lacks. The view of a balancer with working sources is younger.
@@ -15,7 +15,8 @@
 	absenceTTL = time.Minute
 )
 
-// absences holds what callers sought and the view lacked, or what a change removed.
+// absences holds the keys, of routes or of services, that callers sought and the view lacked,
+// or that a change removed.
 type absences[K comparable] struct {
 	byKey map[K]*absence
 }
--- a/director/director.go
+++ b/director/director.go
@@ -195,8 +195,8 @@
 func (d *Director) decideUnroutedOpening(now time.Time, p *Packet) Decision {
 	since := d.absentRoutes.seek(now, p.Destination)
 	f := d.flows.find(flowKey(p))
-	firstSeen := p.Retransmissions == 0 || f != nil && f.openingSeen
-	decision := refuse(firstSeen && d.isAbsent(now, since), ReasonNoRoute, ReasonUnknownRoute)
+	firstCopyCame := p.Retransmissions == 0 || f != nil && f.openingSeen
+	decision := refuse(firstCopyCame && d.isAbsent(now, since), ReasonNoRoute, ReasonUnknownRoute)
 	d.trackDropped(now, p, decision)
 	return decision
 }
--- a/director/fleet_test.go
+++ b/director/fleet_test.go
@@ -107,8 +107,8 @@
 
 type fleetMember struct {
 	*director.Director
-	fleet *director.Fleet
-	seen  map[int]bool
+	counts *director.Fleet
+	seen   map[int]bool
 	// lag is the age of the balancer's view. It joins and restarts at these times, or was
 	// there from the start if joinAt is 0 and never restarts if restartAt is 0.
 	lag, joinAt, restartAt time.Duration
@@ -140,7 +140,7 @@
 	return true
 }
 
-// views is how often a balancer's view is renewed.
+// viewStep is how often a balancer's view is renewed.
 const viewStep = 100 * time.Millisecond
 
 func (h *fleetHistory) play(fatalf func(string, ...any), length time.Duration) {
@@ -186,7 +186,7 @@
 		b.running = true
 		b.Director = director.New(uint64(i)*7919+1, "entry")
 		b.SetConfiguration(configuration(1))
-		b.fleet = director.NewFleet(fmt.Sprint(i), "entry")
+		b.counts = director.NewFleet(fmt.Sprint(i), "entry")
 		b.seen = make(map[int]bool)
 	}
 	if !b.running {
@@ -195,13 +195,13 @@
 	for other := range h.fleet {
 		switch known := h.registered(other, max(at-b.lag, 0)); {
 		case known && !b.seen[other]:
-			b.fleet.Register(now, fmt.Sprint(other), "entry", first)
+			b.counts.Register(now, fmt.Sprint(other), "entry", first)
 		case !known && b.seen[other]:
-			b.fleet.Remove(now, fmt.Sprint(other))
+			b.counts.Remove(now, fmt.Sprint(other))
 		}
 		b.seen[other] = h.registered(other, max(at-b.lag, 0))
 	}
-	b.SetFleet(now, b.fleet)
+	b.SetFleet(now, b.counts)
 	if at >= h.coldFrom && b.Targets() == 0 {
 		cold := target(1)
 		cold.ColdFor = time.Minute
--- a/director/lagging_test.go
+++ b/director/lagging_test.go
@@ -127,16 +127,16 @@
 type viewHistory struct {
 	t   *rapid.T
 	now time.Time
-	// changes are those of the store, in order of time. Some lie in the future.
-	changes   []storeChange
+	// states are those of the store, in order of time. Some lie in the future.
+	states    []storeState
 	version   uint64
 	directors []*laggingDirector
 	flows     []historyFlow
 	callers   int
 }
 
-// storeChange is the state of the routes and the targets from a time on.
-type storeChange struct {
+// storeState is the state of the routes and the targets from a time on.
+type storeState struct {
 	at         time.Time
 	routes     [historyRoutes]bool
 	registered [historyTargets]bool
@@ -146,7 +146,7 @@
 type laggingDirector struct {
 	*director.Director
 	viewedAt time.Time
-	view     storeChange
+	view     storeState
 }
 
 type historyFlow struct {
@@ -159,11 +159,11 @@
 
 func newViewHistory(t *rapid.T) *viewHistory {
 	h := &viewHistory{t: t, now: start, version: 1}
-	first := storeChange{at: start, version: 1}
+	first := storeState{at: start, version: 1}
 	for i := range first.registered {
 		first.registered[i] = true
 	}
-	h.changes = []storeChange{first}
+	h.states = []storeState{first}
 	for range rapid.IntRange(1, 3).Draw(t, "balancers") {
 		h.directors = append(h.directors, h.newDirector(start))
 	}
@@ -186,7 +186,7 @@
 	if viewedAt.Before(d.viewedAt) {
 		return
 	}
-	for _, change := range h.changes {
+	for _, change := range h.states {
 		if !change.at.After(viewedAt) && (d.view.version == 0 || change.at.After(d.viewedAt)) {
 			h.apply(d, change)
 		}
@@ -195,7 +195,7 @@
 	d.SetConfirmed(viewedAt)
 }
 
-func (h *viewHistory) apply(d *laggingDirector, change storeChange) {
+func (h *viewHistory) apply(d *laggingDirector, change storeState) {
 	c := director.Configuration{Version: change.version, Services: []director.Service{{Name: "desk"}}}
 	for i, exists := range change.routes {
 		if exists {
@@ -215,9 +215,9 @@
 }
 
 // stateAt returns the state of the store at a time.
-func (h *viewHistory) stateAt(at time.Time) storeChange {
-	state := h.changes[0]
-	for _, change := range h.changes {
+func (h *viewHistory) stateAt(at time.Time) storeState {
+	state := h.states[0]
+	for _, change := range h.states {
 		if !change.at.After(at) {
 			state = change
 		}
@@ -226,20 +226,20 @@
 }
 
 // change changes the state of the store from a time on.
-func (h *viewHistory) change(at time.Time, edit func(*storeChange)) {
+func (h *viewHistory) change(at time.Time, edit func(*storeState)) {
 	next := h.stateAt(at)
 	next.at = at
 	h.version++
 	next.version = h.version
 	edit(&next)
-	kept := h.changes[:0:0]
-	for _, c := range h.changes {
+	kept := h.states[:0:0]
+	for _, c := range h.states {
 		if !c.at.After(at) {
 			kept = append(kept, c)
 		}
 	}
 	kept = append(kept, next)
-	for _, c := range h.changes {
+	for _, c := range h.states {
 		if c.at.After(at) {
 			h.version++
 			c.version = h.version
@@ -247,7 +247,7 @@
 			kept = append(kept, c)
 		}
 	}
-	h.changes = kept
+	h.states = kept
 }
 
 func (h *viewHistory) draw(what string, most int) int { return rapid.IntRange(0, most).Draw(h.t, what) }
@@ -258,7 +258,7 @@
 	route := h.draw("route", historyRoutes-1)
 	switch h.draw("step", 8) {
 	case 0:
-		h.change(h.now, func(c *storeChange) { c.routes[route] = !c.routes[route] })
+		h.change(h.now, func(c *storeState) { c.routes[route] = !c.routes[route] })
 	case 1:
 		h.lapse(h.draw("target", historyTargets-1))
 	case 2, 3:
@@ -283,12 +283,12 @@
 	if !h.stateAt(h.now.Add(time.Hour)).registered[i] || !h.stateAt(h.now).registered[i] {
 		return
 	}
-	h.change(h.now, func(c *storeChange) { c.registered[i] = false })
-	h.change(h.now.Add(time.Duration(1+h.draw("back after", 1998))*time.Millisecond), func(c *storeChange) { c.registered[i] = true })
+	h.change(h.now, func(c *storeState) { c.registered[i] = false })
+	h.change(h.now.Add(time.Duration(1+h.draw("back after", 1998))*time.Millisecond), func(c *storeState) { c.registered[i] = true })
 }
 
 // lacked reports whether the store lacked something at any moment of the last 2 s.
-func (h *viewHistory) lacked(has func(storeChange) bool) bool {
+func (h *viewHistory) lacked(has func(storeState) bool) bool {
 	for at := h.now.Add(-2 * time.Second); !at.After(h.now); at = at.Add(time.Millisecond) {
 		if at.Before(start) || !has(h.stateAt(at)) {
 			return true
@@ -308,8 +308,8 @@
 		})
 	}
 	if decision.Action == director.Reset &&
-		!h.lacked(func(c storeChange) bool { return c.routes[route] }) &&
-		!h.lacked(func(c storeChange) bool { return c.registered != [historyTargets]bool{} }) {
+		!h.lacked(func(c storeState) bool { return c.routes[route] }) &&
+		!h.lacked(func(c storeState) bool { return c.registered != [historyTargets]bool{} }) {
 		h.t.Fatalf("an opening that could be served all the time was reset: %s", decision.Reason)
 	}
 }
@@ -327,7 +327,7 @@
 
 // dropped reports whether a flow's route was dropped since the flow was opened.
 func (h *viewHistory) dropped(f historyFlow) bool {
-	for _, c := range h.changes {
+	for _, c := range h.states {
 		if !c.at.After(h.now) && !c.routes[f.route] && !c.at.Before(h.stateAt(f.openedAt).at) {
 			return true
 		}
--- a/director/opening_test.go
+++ b/director/opening_test.go
@@ -141,8 +141,8 @@
 	now       time.Duration
 	events    []flowEvent
 	directors []*director.Director
-	// openedAt holds the targets that an opening packet of the flow reached, with the
-	// number of answers that each has sent and the token that it echoes.
+	// answers holds the number of answers that each target has sent to an opening packet
+	// of the flow, echoes the token that it echoes.
 	answers map[string]int
 	echoes  map[string]tokenizer.Token
 	// owner is the target whose answer opened the flow, and echo the token that the caller
--- a/follower/history_test.go
+++ b/follower/history_test.go
@@ -126,8 +126,8 @@
 	mu    sync.Mutex
 	start time.Time
 	// reads counts the reads of the store in each second.
-	reads  map[int]int
-	faults []string
+	reads      map[int]int
+	violations []string
 }
 
 func newHistory(zones ...int) *history {
@@ -210,7 +210,7 @@
 			h.observe()
 		}
 		stop()
-		_ = group.Wait()
+		is.New(t).NoErr(group.Wait())
 	})
 }
 
@@ -221,14 +221,14 @@
 	now := time.Now()
 	for _, vm := range h.fleet {
 		if h.undisturbed(vm, now) && h.changedSince(vm.content, now.Add(-drainBound)) {
-			h.faults = append(h.faults, fmt.Sprintf("%s lags behind by %v at %v", vm.self.Name, now.Sub(vm.content), now.Sub(h.start)))
+			h.violations = append(h.violations, fmt.Sprintf("%s lags behind by %v at %v", vm.self.Name, now.Sub(vm.content), now.Sub(h.start)))
 		}
 	}
 }
 
 func (h *history) check(fatalf func(string, ...any)) {
-	if len(h.faults) > 0 {
-		fatalf("%d violations, first: %s", len(h.faults), h.faults[0])
+	if len(h.violations) > 0 {
+		fatalf("%d violations, first: %s", len(h.violations), h.violations[0])
 	}
 }
 
@@ -239,7 +239,7 @@
 	content := time.Unix(0, int64(u.Revision))
 	confirmed := now.Add(-u.Age)
 	if confirmed.After(content) {
-		h.faults = append(h.faults, fmt.Sprintf("%s believes an answer of %s to be %v old, but it is %v",
+		h.violations = append(h.violations, fmt.Sprintf("%s believes an answer of %s to be %v old, but it is %v",
 			vm.self.Name, s, u.Age, now.Sub(content)))
 	}
 	changed := h.changedSince(vm.content, content)
