--- a/director/view.go
+++ b/director/view.go
@@ -22,6 +22,13 @@
 	// Idempotent reports whether the requests on the route are idempotent, so that
 	// callers may repeat a request that has already run.
 	Idempotent bool
+	// Urgency is the rank of the route's requests if there is too little room for all; 0 is
+	// the most urgent.
+	Urgency int
+	// Goal is the time within which callers want an answer, and Timeout that after which an
+	// answer is of no use. Both are 0 if the configuration doesn't say.
+	Goal    time.Duration
+	Timeout time.Duration
 }
 
 // Service holds the operators' settings of one service.
