--- a/director/chooser.go
+++ b/director/chooser.go
@@ -103,7 +103,7 @@
 // score returns the score of a target for a flow, weighted by the target's capacity. The
 // target with the highest score ranks first.
 func score(key uint64, m *member) float64 {
-	return -m.slots() / math.Log(unitInterval(hashPair(key, m.ID)))
+	return -m.weight() / math.Log(unitInterval(hashPair(key, m.ID)))
 }
 
 func contains(members []*member, m *member) bool {
--- a/director/director.go
+++ b/director/director.go
@@ -28,6 +28,7 @@
 	"net/netip"
 	"time"
 
+	"trefoilspring.example/trefoilspring/aggregator"
 	"trefoilspring.example/trefoilspring/tokenizer"
 )
 
@@ -146,6 +147,8 @@
 	// openings holds the first opening packets of the flows that were opened within
 	// followUpTimeout, oldest first.
 	openings []forwardedOpening
+	// picture is what the balancers of all availability zones observe of the load.
+	picture aggregator.Picture
 	// pendingChecks is the number of requested checks that have no verdict yet.
 	pendingChecks int
 }
--- /dev/null
+++ b/director/load.go
@@ -0,0 +1,12 @@
+package director
+
+import (
+	"time"
+
+	"trefoilspring.example/trefoilspring/aggregator"
+)
+
+// SetPicture applies what the balancers of all availability zones observe of the load. A
+// zone that the picture lacks is unknown; decisions then follow from what this balancer
+// observes itself.
+func (d *Director) SetPicture(_ time.Time, p aggregator.Picture) { d.picture = p }
