rater: rate targets by their times and their unanswered requests

Cause: new flows are shared by capacity alone, so callers wait for a target that got slow while others have free slots.

Change: Rater compares each target's mean time and answered part with the upper median of its service, ignores what chance and mixed kinds of requests explain, and bounds the change in a window.

--- a/rater/rater_test.go
+++ b/rater/rater_test.go
@@ -159,7 +159,7 @@
 		s := newService(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(1, 20).Draw(t, "targets"), rapid.Float64Range(0.5, 40).Draw(t, "rate"))
 		heavy := rapid.Float64Range(1, 3).Draw(t, "heavy")
 		s.work = func(int) float64 { return 1 + float64(s.random.IntN(2))*(heavy-1) }
-		for range 30 {
+		for range 200 {
 			s.run(1)
 			wrong += len(s.r.Speeds(s.now))
 			windows += len(s.slowdown)
@@ -171,6 +171,23 @@
 	}
 }
 
+// With 5 requests a second and two kinds of requests, one with 3 times the work, targets of the
+// same speed have speed 1 in 99 of 100 windows.
+func TestEqualTargetsWithFewRequests(t *testing.T) {
+	is := is.New(t)
+	wrong := 0
+	for seed := range uint64(20) {
+		s := newService(seed, 20, 5)
+		s.work = func(int) float64 { return 1 + 2*float64(s.random.IntN(2)) }
+		for range 200 {
+			s.run(1)
+			wrong += len(s.r.Speeds(s.now))
+		}
+	}
+	t.Logf("%d wrong of %d", wrong, 20*20*200)
+	is.True(wrong <= 20*20*200/100)
+}
+
 // Load pattern: two kinds of requests, one with twice the work, and a target gets anything
 // between 1 in 5 and 4 in 5 of the heavy kind. The targets keep nearly even shares.
 func TestKindsOfRequestsMixedUnevenly(t *testing.T) {
@@ -288,3 +305,29 @@
 	s.now = s.now.Add(time.Minute)
 	is.Equal(len(s.r.Speeds(s.now)), 0)
 }
+
+// Load pattern: requests take 2 s, and one target gets four times as many as before. Those that
+// are under way don't make it look as if it hung.
+func TestLongRequestsAreNotHanging(t *testing.T) {
+	is := is.New(t)
+	var r rater.Rater
+	for window := range 20 {
+		var samples []rater.Sample
+		for target := range 4 {
+			begun, answered := 5, 5
+			if target == 0 && window >= 10 {
+				begun = 20
+			}
+			if target == 0 && window >= 12 {
+				answered = 20
+			}
+			samples = append(samples, rater.Sample{
+				Target: uint64(target), Service: "desk", Begun: begun, Answered: answered,
+				Timed: answered, Time: time.Duration(answered) * 2 * time.Second,
+			})
+		}
+		now := start.Add(time.Duration(window) * time.Second)
+		r.Record(now, samples)
+		is.Equal(len(r.Speeds(now)), 0)
+	}
+}
--- a/rater/reference.go
+++ b/rater/reference.go
@@ -23,7 +23,8 @@
 // Load patterns: a target fails everything at once and answers fast, also if it is one of two
 // targets; some targets of a service get slow; and all of them get slow together.
 func (ref *reference) update(targets []*rating) {
-	var all, steady, parts []float64
+	var parts []float64
+	timed, above := 0, 0
 	for _, t := range targets {
 		if t.begun >= 1 {
 			parts = append(parts, min(t.answered/t.begun, 1))
@@ -31,29 +32,42 @@
 		if t.timed < minTimed {
 			continue
 		}
-		all = append(all, t.mean())
-		if t.speed == 1 {
-			steady = append(steady, t.mean())
+		timed++
+		if t.mean() > severalTimes*ref.time {
+			above++
 		}
 	}
 	ref.answered = upperMedian(parts)
-	if len(all) == 0 {
+	if timed == 0 {
 		return
 	}
-	above := 0
-	for _, mean := range all {
-		if mean > tolerance*ref.time {
-			above++
+	if 2*above > timed {
+		for _, t := range targets {
+			t.forgetLong()
 		}
-	}
-	if ref.time == 0 || 2*above > len(all) {
-		ref.time = upperMedian(all)
+		ref.time = usualTime(targets)
 		return
 	}
+	ref.time = min(max(usualTime(targets), maxReferenceFall*ref.time), maxReferenceRise*ref.time)
+}
+
+// usualTime returns the upper median of the targets' times per request.
+func usualTime(targets []*rating) float64 {
+	var all, steady []float64
+	for _, t := range targets {
+		if t.timed < minTimed {
+			continue
+		}
+		mean := t.longTime / t.longTimed
+		all = append(all, mean)
+		if t.speed == 1 {
+			steady = append(steady, mean)
+		}
+	}
 	if 2*len(steady) < len(all) {
 		steady = all
 	}
-	ref.time = min(max(upperMedian(steady), maxReferenceFall*ref.time), maxReferenceRise*ref.time)
+	return upperMedian(steady)
 }
 
 // upperMedian returns the median of the values, the upper one if there are two, and 0 if there
