--- a/balancer/explain.go
+++ b/balancer/explain.go
@@ -55,6 +55,7 @@
 			SuspectZones:       health.SuspectZones,
 			ZonesOut:           health.ZonesOut,
 			CrowdedServices:    health.CrowdedServices,
+			SlowTargets:        health.SlowTargets,
 		},
 	}
 	for name := range b.view.peers {
@@ -82,6 +83,7 @@
 		Service:        e.Service,
 		NoBuckets:      true,
 		Recorded:       e.Tracked,
+		Speed:          e.Speed,
 		Opening:        outcome(e.Opening),
 		Established:    outcome(e.Established),
 	}
--- a/cmd_explain.go
+++ b/cmd_explain.go
@@ -62,6 +62,9 @@
 		fmt.Fprintf(&b, "tracked      base target %s, current target %s, resolver %s\n", e.BaseTarget, e.CurrentTarget, e.Resolver)
 	}
 	fmt.Fprintf(&b, "opening      %s\n", outcomeText(e.Opening))
+	if e.Speed > 0 && e.Speed < 1 {
+		fmt.Fprintf(&b, "speed        %.2f, new flows are fewer by this factor\n", e.Speed)
+	}
 	fmt.Fprintf(&b, "established  %s\n", outcomeText(e.Established))
 	return b.String()
 }
--- a/director/chooser.go
+++ b/director/chooser.go
@@ -100,7 +100,7 @@
 	return p != nil && slices.ContainsFunc(p.members, d.acceptsNewFlows)
 }
 
-// score returns the score of a target for a flow, weighted by the target's capacity. The
+// score returns the score of a target for a flow, weighted by the target's capacity and speed. The
 // target with the highest score ranks first.
 func score(key uint64, m *member) float64 {
 	return -m.weight() / math.Log(unitInterval(hashPair(key, m.ID)))
--- a/director/director.go
+++ b/director/director.go
@@ -149,6 +149,10 @@
 	openings []forwardedOpening
 	// picture is what the balancers of all availability zones observe of the load.
 	picture aggregator.Picture
+	// speedsAt is when the speeds of targets were set. speedChanges holds the changes that
+	// the next call of TakeSpeedChanges returns.
+	speedsAt     time.Time
+	speedChanges []SpeedChange
 	// pendingChecks is the number of requested checks that have no verdict yet.
 	pendingChecks int
 }
@@ -381,10 +385,11 @@
 	return m, ok && !d.removed.has(m)
 }
 
-// Tick removes expired flows and targets, ends demand windows that are over and requests
+// Tick removes expired flows, targets and speeds, ends demand windows that are over and requests
 // checks that are due. It must be called about once a second.
 func (d *Director) Tick(now time.Time) {
 	d.flows.expire(now)
+	d.expireSpeeds(now)
 	for _, p := range d.pools {
 		p.demand.rollWindow(now)
 	}
--- a/director/explain.go
+++ b/director/explain.go
@@ -20,6 +20,9 @@
 	// pinned to or else the token of Opening.
 	Opening     Decision
 	Established Decision
+	// Speed is the speed of the target of Opening; see aggregator.Summary. It is 0 if there
+	// is no target.
+	Speed float64
 }
 
 // Explain returns the decisions on the packets of the flow of p, and changes nothing. It
@@ -42,6 +45,11 @@
 		e.Opening = refuse(sought && d.isAbsent(now, since), ReasonNoRoute, ReasonUnknownRoute)
 	}
 	token := e.Opening.Token
+	if e.Opening.Target != nil {
+		if m := d.byName[e.Opening.Target.Name]; m != nil {
+			e.Speed = m.speed()
+		}
+	}
 	if f != nil && f.pinned != 0 {
 		token = f.pinned
 	}
@@ -97,6 +105,8 @@
 	// CrowdedServices lists the services whose targets in the own zone lack the capacity
 	// for all callers of the zone, so that some flows go to other zones.
 	CrowdedServices []string
+	// SlowTargets lists the targets that get fewer new flows since they answer slowly.
+	SlowTargets []string
 }
 
 // HealthSummary returns the lists as of now.
@@ -106,6 +116,9 @@
 		if m.health.unreachable {
 			s.UnreachableTargets = append(s.UnreachableTargets, name)
 		}
+		if m.slow {
+			s.SlowTargets = append(s.SlowTargets, name)
+		}
 	}
 	for name, z := range d.zones {
 		if z.isSuspect(now) {
@@ -121,6 +134,7 @@
 		}
 	}
 	slices.Sort(s.CrowdedServices)
+	slices.Sort(s.SlowTargets)
 	slices.Sort(s.UnreachableTargets)
 	slices.Sort(s.SuspectZones)
 	slices.Sort(s.ZonesOut)
--- a/director/locality.go
+++ b/director/locality.go
@@ -123,8 +123,9 @@
 // slots returns how many requests the target can work on at a time.
 func (m *member) slots() float64 { return float64(max(m.Capacity, 1)) }
 
-// weight returns the target's share of new flows in relation to other targets.
-func (m *member) weight() float64 { return m.slots() }
+// weight returns the target's share of new flows in relation to other targets: its slots times
+// its speed.
+func (m *member) weight() float64 { return m.openingWeight }
 
 // evenZoneShare returns the mean number of slots per zone, over the zones that have targets
 // accepting new flows.
--- a/director/view.go
+++ b/director/view.go
@@ -69,6 +69,12 @@
 type member struct {
 	Target
 	coldUntil time.Time
+	// addedAt is when this run of the target was added.
+	addedAt time.Time
+	// openingWeight is the target's weight; see setSpeed. slow reports whether the target
+	// was last reported as slow.
+	ownSpeed, openingWeight float64
+	slow                    bool
 	// lapsed reports whether the registration was removed during an outage of the store.
 	lapsed bool
 	pacer  limiter.Pacer
@@ -127,6 +133,7 @@
 	old := d.byName[t.Name]
 	if old != nil && old.Started == t.Started && old.Service == t.Service && old.ID == t.ID {
 		old.Target = t
+		old.setSpeed(old.speed())
 		old.zone = d.zoneHealthOf(t.AvailabilityZone)
 		old.coldUntil = now.Add(t.ColdFor)
 		old.lapsed = false
@@ -142,7 +149,8 @@
 	if old != nil {
 		d.pools[old.Service].remove(old)
 	}
-	m := &member{Target: t, coldUntil: now.Add(t.ColdFor), zone: d.zoneHealthOf(t.AvailabilityZone)}
+	m := &member{Target: t, addedAt: now, coldUntil: now.Add(t.ColdFor), zone: d.zoneHealthOf(t.AvailabilityZone)}
+	m.setSpeed(1)
 	d.tokens.Add(now, t.ID, m)
 	d.byName[t.Name] = m
 	d.removed.remove(t.ID)
--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -89,6 +89,9 @@
 	// CrowdedServices are the services some of whose flows go to other zones, because the
 	// targets in the balancer's zone lack the capacity for all callers of the zone.
 	CrowdedServices []string `json:"crowded-services"`
+	// SlowTargets are the targets that get fewer new flows, since they answer slowly or
+	// not at all.
+	SlowTargets []string `json:"slow-targets,omitempty"`
 }
 
 // Explanation describes what a balancer would do with the packets of one flow.
@@ -110,6 +113,9 @@
 	BaseTarget    string `json:"base-target,omitempty"`
 	CurrentTarget string `json:"current-target,omitempty"`
 	Resolver      string `json:"resolver,omitempty"`
+	// Speed is the speed of Opening's target in relation to the other targets of its
+	// service, at most 1. It is 0 if it isn't known.
+	Speed float64 `json:"speed,omitempty"`
 	// Opening is the outcome for the first packet of the flow, Established the outcome for
 	// a later packet.
 	Opening     Outcome `json:"opening"`
