--- a/balancer/explain.go
+++ b/balancer/explain.go
@@ -83,7 +83,7 @@
 		Service:        e.Service,
 		NoBuckets:      true,
 		Recorded:       e.Tracked,
-		Speed:          e.Speed,
+		Speed:          speedIfSlow(e.Speed),
 		Opening:        outcome(e.Opening),
 		Established:    outcome(e.Established),
 	}
--- a/balancer/speeds.go
+++ b/balancer/speeds.go
@@ -25,4 +25,12 @@
 	}
 }
 
+// speedIfSlow returns a speed, or 0 if it is 1.
+func speedIfSlow(speed float64) float64 {
+	if speed >= 1 {
+		return 0
+	}
+	return speed
+}
+
 func firstNames(names []string) []string { return names[:min(len(names), maxNamedTargets)] }
--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -114,7 +114,7 @@
 	CurrentTarget string `json:"current-target,omitempty"`
 	Resolver      string `json:"resolver,omitempty"`
 	// Speed is the speed of Opening's target in relation to the other targets of its
-	// service, at most 1. It is 0 if it isn't known.
+	// service, greater than 0 and less than 1. It is left out if it is 1 or not known.
 	Speed float64 `json:"speed,omitempty"`
 	// Opening is the outcome for the first packet of the flow, Established the outcome for
 	// a later packet.
--- a/rater/rater.go
+++ b/rater/rater.go
@@ -26,10 +26,11 @@
 	// MinSpeed is the least speed. With 10 requests a second for each target, a slow target
 	// gets a new one each second.
 	MinSpeed = 0.1
-	// MaxFall and MaxRise bound the factor by which a speed changes in a window, so that
-	// the load of the other targets changes in steps. Callers need two windows to leave
-	// a slow target, and a few to return.
+	// MaxFall bounds the factor by which a speed falls in a window, so that the load of the
+	// other targets changes in steps. Callers leave a slow target within two windows.
 	MaxFall = 0.25
+	// MaxRise bounds the factor by which a speed rises in a window. Callers return within a
+	// few seconds.
 	MaxRise = 2.0
 	// forgetAfter is the time without samples after which a target is forgotten.
 	forgetAfter = 30 * time.Second
--- a/rater/rater_test.go
+++ b/rater/rater_test.go
@@ -331,3 +331,48 @@
 		is.Equal(len(r.Speeds(now)), 0)
 	}
 }
+
+// Whatever is reported, also numbers that can't be, a speed stays in its range and changes by no
+// more than its bounds in a window, and only targets that were reported have one.
+func TestSpeedsChangeInBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var r rater.Rater
+		before := make(map[uint64]float64)
+		count := rapid.IntRange(-1, 50)
+		for window := range rapid.IntRange(1, 40).Draw(t, "windows") {
+			var samples []rater.Sample
+			for target := range uint64(6) {
+				samples = append(samples, rater.Sample{
+					Target: target, Service: "desk", Begun: count.Draw(t, "begun"), Answered: count.Draw(t, "answered"),
+					Timed: count.Draw(t, "timed"), Time: time.Duration(rapid.Int64Range(-1, math.MaxInt64).Draw(t, "time")),
+				})
+			}
+			now := start.Add(time.Duration(window) * time.Second)
+			r.Record(now, samples)
+			speeds := r.Speeds(now)
+			for target := range uint64(6) {
+				speed, slow := speeds[target]
+				if !slow {
+					speed = 1
+				} else if !(speed >= rater.MinSpeed && speed < 1) {
+					t.Fatalf("speed %v", speed)
+				}
+				was := 1.0
+				if b, known := before[target]; known {
+					was = b
+				}
+				// A speed of 0.9 or more counts as 1.
+				if speed < was*rater.MaxFall || speed > was*rater.MaxRise/0.9 {
+					t.Fatalf("speed went from %v to %v in a window", was, speed)
+				}
+				before[target] = speed
+			}
+			if len(speeds) > 6 {
+				t.Fatal("unknown targets")
+			}
+		}
+		if n := len(r.Speeds(start.Add(time.Hour))); n > 0 {
+			t.Fatalf("%d targets weren't forgotten", n)
+		}
+	})
+}
