rater: a target without requests is not held slow as hanging

Change: below half a request there is no evidence of hanging, so the speed rises by the window's bound. The tests are split by what they guard; none changed.

--- a/rater/rating.go
+++ b/rater/rating.go
@@ -36,6 +36,8 @@
 	// minAnswered is the answered part of the requests, relative to the service, below which
 	// a target may be hanging. Random losses and requests under way explain more.
 	minAnswered = 0.5
+	// minBegun is the number of requests below which there is no evidence of hanging.
+	minBegun = 0.5
 )
 
 // rating is the evidence about one target, and its speed.
@@ -129,7 +131,7 @@
 // one and a half seconds isn't found to hang.
 func (t *rating) rateAnswers(ref reference) float64 {
 	expected := ref.answered * t.begun
-	if t.answered >= minAnswered*expected {
+	if t.begun < minBegun || t.answered >= minAnswered*expected {
 		return 1
 	}
 	underWay := (1 - memory) * t.begun * ref.time
