--- a/director/speeds.go
+++ b/director/speeds.go
@@ -51,24 +51,19 @@
 	for _, m := range d.byName {
 		speed := 1.0
 		if !now.Before(m.coldUntil) && now.Sub(m.addedAt) >= newTargetTime {
-			speed = reportedSpeed(d.picture, m)
+			speed = d.reportedSpeed(m)
 		}
 		m.setSpeed(speed)
 		d.noteSpeed(m)
 	}
 }
 
-// reportedSpeed returns the speed by the Summary of the target's own zone. Without that, it is
-// the lowest that another zone reports.
-func reportedSpeed(p aggregator.Picture, m *member) float64 {
-	if own, known := p.Zones[m.AvailabilityZone]; known {
-		return speedIn(own, m.ID)
-	}
-	lowest := 1.0
-	for _, s := range p.Zones {
-		lowest = min(lowest, speedIn(s, m.ID))
-	}
-	return lowest
+// reportedSpeed returns the lower of the speeds by the Summaries of the balancer's own zone and
+// of the target's zone. Most requests of a target come from its own zone, unless most callers
+// are in another one; then only the balancers there see that it is slow. What a third zone
+// observes may be due to its links to the target.
+func (d *Director) reportedSpeed(m *member) float64 {
+	return min(speedIn(d.picture.Zones[d.zone], m.ID), speedIn(d.picture.Zones[m.AvailabilityZone], m.ID))
 }
 
 // speedIn returns the speed of a target by a Summary. It is 1 if the Summary gives none or one
