director, balancer: turn new flows away when a service has too little room

Targets that are full fail requests of every urgency alike. The director now tells the admitter each second what callers ask (from the balancers' reports, or extrapolated from what this balancer sees while there are none), and resets first openings that there is no room for, the least urgent first. A copy is never reset, since the reset may be lost.

Lines, counters by urgency, explain and status say which service turns flows away.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -47,6 +47,10 @@
 	Service string
 	// Slots is how many requests at a time the targets that accept new flows can work on.
 	Slots float64
+	// ColdSlots is the same of targets that are warming up, which are not among Slots.
+	// They accept only ColdOpenings new flows per second together.
+	ColdSlots    float64
+	ColdOpenings float64
 	// Goal is the shortest time within which callers of the service want an answer, or 0 if
 	// that isn't known.
 	Goal time.Duration
--- a/admitter/service.go
+++ b/admitter/service.go
@@ -11,7 +11,7 @@
 	// maxQueue is how many requests may wait for each slot before flows are turned away.
 	// Targets queue a few requests only and fail the rest, so a longer queue would never
 	// be seen.
-	maxQueue = 0.5
+	maxQueue = 1
 	// maxWaitPart is the part of the callers' goal that requests may spend waiting for a
 	// slot. The rest is left for the work, the network and retransmissions.
 	maxWaitPart = 0.25
@@ -88,7 +88,7 @@
 // Load patterns: callers of one class open ten times as many flows as usual; all callers do;
 // targets can do less than they registered.
 func (s *service) observe(o Observation, classes []*class) {
-	slots := o.Slots
+	slots := o.Slots + coldSlots(o, classes)
 	s.waiting, s.wanted = 0, 0
 	for _, c := range classes {
 		s.waiting += c.demand.Concurrency
@@ -118,6 +118,19 @@
 	s.divide(classes)
 }
 
+// coldSlots returns how many slots of targets that are warming up their new flows can fill.
+func coldSlots(o Observation, classes []*class) float64 {
+	openings, filled := 0.0, 0.0
+	for _, c := range classes {
+		openings += c.demand.Openings
+		filled += c.demand.Openings * c.requests * c.workTime
+	}
+	if filled <= 0 {
+		return o.ColdSlots
+	}
+	return min(o.ColdSlots, o.ColdOpenings*filled/openings)
+}
+
 // change returns the change to the present state.
 func (s *service) change(name string) Change {
 	return Change{Service: name, Began: s.limited, Wanted: s.wanted, Room: s.room, Waiting: s.waiting, Bound: s.bound}
--- a/balancer/explain.go
+++ b/balancer/explain.go
@@ -55,6 +55,7 @@
 			SuspectZones:       health.SuspectZones,
 			ZonesOut:           health.ZonesOut,
 			CrowdedServices:    health.CrowdedServices,
+			LimitedServices:    health.LimitedServices,
 		},
 	}
 	for name := range b.view.peers {
@@ -84,6 +85,18 @@
 		Recorded:       e.Tracked,
 		Opening:        outcome(e.Opening),
 		Established:    outcome(e.Established),
+		Admission:      admission(e.Admission),
+	}
+}
+
+// admission converts the admission of a flow to the one that is reported.
+func admission(a director.Admission) *explainer.Admission {
+	if !a.Known {
+		return nil
+	}
+	return &explainer.Admission{
+		Urgency: a.Urgency, Limited: a.Limited, Fraction: a.Fraction,
+		Waiting: a.Waiting, Bound: a.Bound, Wanted: a.Wanted, Room: a.Room,
 	}
 }
 
@@ -113,4 +126,5 @@
 	director.ReasonNoToken:           "no target accepts the flow, so its packets have no token to carry",
 	director.ReasonUnknownToken:      "no target has the token",
 	director.ReasonNoView:            "there is no configuration yet",
+	director.ReasonTurnedAway:        "callers ask for more than the targets of the service can do, and this flow isn't among those of its urgency that there is room for; it reached no target",
 }
--- a/balancer/metrics.go
+++ b/balancer/metrics.go
@@ -97,6 +97,11 @@
 	c.Inc()
 }
 
+// countTurnedAway counts a new flow that was turned away, by its urgency.
+func (m *metricSet) countTurnedAway(urgency int) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`trefoilspring_openings_turned_away_total{urgency="%d"}`, urgency)).Inc()
+}
+
 // rejectionCounts returns the numbers of packets that were answered with a reset or
 // dropped, by reason. The keys begin with refusedPrefix and droppedPrefix.
 func (m *metricSet) rejectionCounts() map[string]uint64 {
--- a/balancer/packets.go
+++ b/balancer/packets.go
@@ -136,6 +136,9 @@
 func (l *packetLoop) execute(now time.Time, i int, packet *director.Packet, d director.Decision) {
 	b := l.balancer
 	b.metrics.countDecision(d)
+	if d.Reason == director.ReasonTurnedAway {
+		b.metrics.countTurnedAway(d.Urgency)
+	}
 	switch d.Action {
 	case director.Forward:
 		datagram := b.fabric.Encapsulate(l.reader.DatagramWithHeadroom(i, b.fabric.Headroom), d.Target, d.Token)
@@ -193,6 +196,9 @@
 	if packet.Opening {
 		fields = append(fields, "copy", packet.Retransmissions)
 	}
+	if d.Reason == director.ReasonTurnedAway {
+		fields = append(fields, "urgency", d.Urgency)
+	}
 	if t := d.Target; t != nil {
 		fields = append(fields, "target", t.Name, "target-zone", t.AvailabilityZone, "service", t.Service, "target-address", t.Address.String(), "token", uint32(d.Token))
 	} else if packet.Token != 0 {
--- a/cmd_explain.go
+++ b/cmd_explain.go
@@ -61,6 +61,10 @@
 	if e.Tracked {
 		fmt.Fprintf(&b, "tracked      base target %s, current target %s, resolver %s\n", e.BaseTarget, e.CurrentTarget, e.Resolver)
 	}
+	if a := e.Admission; a != nil {
+		fmt.Fprintf(&b, "admission    urgency %d, %.0f%% of new flows admitted; %.1f requests wait (bound %.1f), this urgency wants %.1f of room for %.1f\n",
+			a.Urgency, 100*a.Fraction, a.Waiting, a.Bound, a.Wanted, a.Room)
+	}
 	fmt.Fprintf(&b, "opening      %s\n", outcomeText(e.Opening))
 	fmt.Fprintf(&b, "established  %s\n", outcomeText(e.Established))
 	return b.String()
--- a/cmd_status.go
+++ b/cmd_status.go
@@ -180,7 +180,7 @@
 	for _, list := range []struct {
 		title string
 		names []string
-	}{{"unreachable targets", v.UnreachableTargets}, {"suspect zones", v.SuspectZones}, {"zones out", v.ZonesOut}, {"crowded services", v.CrowdedServices}} {
+	}{{"unreachable targets", v.UnreachableTargets}, {"suspect zones", v.SuspectZones}, {"zones out", v.ZonesOut}, {"crowded services", v.CrowdedServices}, {"services that turn flows away", v.LimitedServices}} {
 		if len(list.names) > 0 {
 			fmt.Fprintf(b, "%s: %s: %s\n", s.Name, list.title, strings.Join(list.names, ", "))
 		}
--- a/director/director.go
+++ b/director/director.go
@@ -90,6 +90,7 @@
 	ReasonNoToken           Reason = "no-token"           // a packet after the opening packet carries no token
 	ReasonUnknownToken      Reason = "unknown-token"      // the token names no known target, or it is uncertain which
 	ReasonNoView            Reason = "no-view"            // there is no configuration yet
+	ReasonTurnedAway        Reason = "turned-away"        // the service has too little room for all new flows of this urgency
 )
 
 // Decision says what to do with one packet, and why.
@@ -100,6 +101,8 @@
 	// are also set for ReasonTargetUnreachable; they name the unreachable target then.
 	Target *Target
 	Token  tokenizer.Token
+	// Urgency is the urgency of a flow that is turned away.
+	Urgency int
 }
 
 // Director makes the decisions of one balancer and holds the state that they depend on.
@@ -141,14 +144,15 @@
 	absentRoutes  *absences[netip.AddrPort]
 	absentTargets *absences[string]
 	services      map[string]Service
-	flows         *flowTable
+	// goals holds the shortest goal of the routes to each service.
+	goals map[string]time.Duration
+	flows *flowTable
 	// checkQueue holds the checks that the next call of TakeChecks returns.
 	checkQueue []Check
 	// openings holds the first opening packets of the flows that were opened within
 	// followUpTimeout, oldest first.
 	openings []forwardedOpening
-	// picture is what the balancers of all availability zones observe of the load.
-	picture aggregator.Picture
+	load     load
 	// pendingChecks is the number of requested checks that have no verdict yet.
 	pendingChecks int
 }
@@ -245,7 +249,7 @@
 		return d.decideRemoved(now, p, token, m, route)
 	}
 	if f != nil {
-		d.recordObservation(now, p, f, m)
+		d.recordObservation(now, p, f, m, route.Urgency)
 	}
 	if len(p.Data) > 0 && d.mayReset(m, route) {
 		return Decision{Action: Reset, Reason: ReasonTargetUnreachable, Target: &m.Target, Token: token}
@@ -280,8 +284,11 @@
 
 // recordObservation updates the target's health and its service's demand from what a
 // packet shows, and requests a check if the target may be unreachable.
-func (d *Director) recordObservation(now time.Time, p *Packet, f *flow, m *member) {
+func (d *Director) recordObservation(now time.Time, p *Packet, f *flow, m *member, urgency int) {
 	seen := f.update(now, p)
+	if seen.requestBegan {
+		d.recordRequest(aggregator.Class{Service: m.Service, Urgency: urgency})
+	}
 	d.pools[m.Service].demand.record(now, seen)
 	switch {
 	case seen.progress:
@@ -325,6 +332,12 @@
 		// Another balancer may have sent the first copy to a target that can't be known here.
 		return Decision{Action: Drop, Reason: ReasonOpeningUnknown}
 	}
+	if p.Retransmissions == 0 {
+		class := classOf(key, route)
+		if f != nil && f.turnedAway || f == nil && d.turnsAway(now, key, p, class) {
+			return refuseAdmission(class)
+		}
+	}
 	m := d.choose(now, key, route)
 	if m == nil {
 		return d.decideUnservedOpening(now, p, pickService(key, route.Backends))
@@ -381,13 +394,14 @@
 	return m, ok && !d.removed.has(m)
 }
 
-// Tick removes expired flows and targets, ends demand windows that are over and requests
-// checks that are due. It must be called about once a second.
+// Tick removes expired flows and targets, ends demand windows that are over, decides what part
+// of new flows is admitted, and requests checks that are due. It must be called about once a second.
 func (d *Director) Tick(now time.Time) {
 	d.flows.expire(now)
 	for _, p := range d.pools {
 		p.demand.rollWindow(now)
 	}
+	d.observeLoad(now)
 	d.recheckUnreachable(now)
 	d.removeLapsed(now)
 	d.removed.expire(now)
--- a/director/explain.go
+++ b/director/explain.go
@@ -15,6 +15,8 @@
 	// Tracked reports whether the flow is tracked: one of its packets was seen in the
 	// last few seconds.
 	Tracked bool
+	// Admission says how the flow competes for the room of Service.
+	Admission Admission
 	// Opening is the decision on an opening packet of the flow. Established is the
 	// decision on a later packet, which carries the token that the tracked flow is
 	// pinned to or else the token of Opening.
@@ -37,6 +39,12 @@
 	if routed {
 		e.Route, e.Service = route.Name, pickService(key, route.Backends)
 		e.Opening = d.explainOpening(now, key, f, e.Service)
+		var admitted bool
+		class := classOf(key, route)
+		e.Admission, admitted = d.explainAdmission(now, key, p, class)
+		if f == nil && !admitted || f != nil && f.turnedAway {
+			e.Opening = refuseAdmission(class)
+		}
 	} else {
 		since, sought := d.absentRoutes.sought(p.Destination)
 		e.Opening = refuse(sought && d.isAbsent(now, since), ReasonNoRoute, ReasonUnknownRoute)
@@ -97,6 +105,9 @@
 	// CrowdedServices lists the services whose targets in the own zone lack the capacity
 	// for all callers of the zone, so that some flows go to other zones.
 	CrowdedServices []string
+	// LimitedServices lists the services that turn some new flows away, since callers ask
+	// for more than all of their targets can do.
+	LimitedServices []string
 }
 
 // HealthSummary returns the lists as of now.
@@ -120,6 +131,7 @@
 			s.CrowdedServices = append(s.CrowdedServices, service)
 		}
 	}
+	s.LimitedServices = d.load.admitter.Limited(now)
 	slices.Sort(s.CrowdedServices)
 	slices.Sort(s.UnreachableTargets)
 	slices.Sort(s.SuspectZones)
--- a/director/flows.go
+++ b/director/flows.go
@@ -35,6 +35,8 @@
 	// openingSeen is true, that is if the first copy of the packet arrived here.
 	openingSequence uint32
 	openingSeen     bool
+	// turnedAway reports whether the opening packet was answered with a reset for lack of room.
+	turnedAway bool
 	// pinned is the token of the flow's first packet that carried one, or 0 before that
 	// packet. It names the target whose answer opened the flow.
 	pinned tokenizer.Token
--- a/director/view.go
+++ b/director/view.go
@@ -110,6 +110,14 @@
 			d.absentRoutes.addRemoved(address)
 		}
 	}
+	d.goals = make(map[string]time.Duration)
+	for _, r := range c.Routes {
+		for _, b := range r.Backends {
+			if shortest, known := d.goals[b.Service]; r.Goal > 0 && (!known || r.Goal < shortest) {
+				d.goals[b.Service] = r.Goal
+			}
+		}
+	}
 	d.services = make(map[string]Service, len(c.Services))
 	for _, s := range c.Services {
 		d.services[s.Name] = s
--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -89,6 +89,9 @@
 	// CrowdedServices are the services some of whose flows go to other zones, because the
 	// targets in the balancer's zone lack the capacity for all callers of the zone.
 	CrowdedServices []string `json:"crowded-services"`
+	// LimitedServices are the services that turn some new flows away, because callers ask for
+	// more than all of their targets can do.
+	LimitedServices []string `json:"limited-services"`
 }
 
 // Explanation describes what a balancer would do with the packets of one flow.
@@ -114,6 +117,27 @@
 	// a later packet.
 	Opening     Outcome `json:"opening"`
 	Established Outcome `json:"established"`
+	// Admission is nil unless the load of the service is known.
+	Admission *Admission `json:"admission,omitempty"`
+}
+
+// Admission describes how a new flow competes for the room of its service. All numbers but
+// Urgency and Fraction are requests at a time.
+type Admission struct {
+	// Urgency is the rank of the flow's route; 0 is the most urgent.
+	Urgency int `json:"urgency"`
+	// Limited is set if some new flows of the service are turned away. Fraction is the part
+	// of the new flows with this urgency that is admitted, from 0 to 1.
+	Limited  bool    `json:"limited"`
+	Fraction float64 `json:"fraction"`
+	// Waiting is how many requests wait for answers, and Bound the number above which
+	// flows begin to be turned away.
+	Waiting float64 `json:"waiting"`
+	Bound   float64 `json:"bound"`
+	// Wanted is what all flows of this urgency would keep targets busy with, and Room what
+	// the flows of all urgencies may.
+	Wanted float64 `json:"wanted"`
+	Room   float64 `json:"room"`
 }
 
 // Outcome is what a balancer would do with one packet.
