--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -54,6 +54,9 @@
 	// Goal is the shortest time within which callers of the service want an answer, or 0 if
 	// that isn't known.
 	Goal time.Duration
+	// Path is how long packets travel between balancer, target and caller on the way of one
+	// request. Demand.Concurrency includes the requests on their way, which take no slots.
+	Path time.Duration
 	// Demand is what callers ask, by urgency.
 	Demand map[int]aggregator.Demand
 	// Estimated reports whether Demand was extrapolated from what one balancer sees. Flows
@@ -139,6 +142,7 @@
 	for _, urgency := range slices.Sorted(maps.Keys(o.Demand)) {
 		if c := a.class(aggregator.Class{Service: o.Service, Urgency: urgency}); c != nil {
 			c.demand = sanitize(o.Demand[urgency])
+			c.demand.Concurrency = max(c.demand.Concurrency-c.demand.Answered*o.Path.Seconds(), 0)
 			all = append(all, c)
 		}
 	}
--- a/admitter/service.go
+++ b/admitter/service.go
@@ -10,8 +10,8 @@
 const (
 	// maxQueue is how many requests may wait for each slot before flows are turned away.
 	// Targets queue a few requests only and fail the rest, so a longer queue would never
-	// be seen.
-	maxQueue = 1
+	// be seen. With flows placed by hash, so many wait at 0.9 of what targets can do.
+	maxQueue = 1.25
 	// maxWaitPart is the part of the callers' goal that requests may spend waiting for a
 	// slot. The rest is left for the work, the network and retransmissions.
 	maxWaitPart = 0.25
@@ -22,10 +22,6 @@
 	// flows are turned away. Requests that wait for targets that died don't fill slots. With
 	// half of the slots, an overload is also found if registrations state twice the slots.
 	minWork = 0.5
-	// roomPart is the part of the slots that requests are admitted for. Flows are placed by
-	// hash, so targets are filled unevenly, and at 0.9 about one request waits for each that
-	// is worked on.
-	roomPart = 0.9
 	// idlePart is the part of the slots that the waiting requests may fill while the time
 	// that they take is taken as the time for the work alone.
 	idlePart = 0.7
@@ -33,14 +29,19 @@
 	// measurable.
 	minShare = 0.01
 
-	// maxReduction is the least factor by which the correction falls at a time. slowRise is
+	// firstReduction is the factor by which the correction falls at first, and
+	// furtherReduction is by how much less the factor is for each further fall in a row, down
+	// to maxReduction. slowRise is
 	// the factor by which it rises while few requests wait, cautiousRise that while as many
 	// wait as there are slots, and fastRise that while targets are idle, until the
 	// correction is 1. With fastRise, a fall to a half in error is made up for in two
 	// seconds.
-	maxReduction = 0.6
-	cautiousRise = 1.01
-	slowRise     = 1.05
+	firstReduction   = 0.9
+	furtherReduction = 0.1
+	maxReduction     = 0.6
+
+	cautiousRise = 1.02
+	slowRise     = 1.1
 	fastRise     = 1.5
 	// minCorrection and maxCorrection bound the correction: registrations may overstate
 	// or understate what targets can do by a factor of ten or three.
@@ -64,6 +65,8 @@
 	// their registrations state. settle is how many observations are still left out.
 	correction float64
 	settle     int
+	// reductions is the number of falls of the correction in a row.
+	reductions int
 	// wanted, room, waiting and bound are those of State, for all classes.
 	wanted, room, waiting, bound float64
 }
@@ -105,16 +108,15 @@
 		s.bound *= estimatedMargin
 	}
 	crowded := s.waiting > s.bound && work >= minWork*slots
-	room := roomPart * slots
 	switch {
-	case slots <= 0, s.limited && s.wanted <= room*s.correction && s.waiting <= s.bound:
+	case slots <= 0, s.limited && s.wanted <= slots*s.correction && s.waiting <= s.bound:
 		s.limited = false
-	case !s.limited && crowded && s.wanted > room*s.correction:
+	case !s.limited && crowded && s.wanted > slots*s.correction:
 		s.limited, s.settle = true, settleObservations
 	default:
 		s.adjust(slots, crowded)
 	}
-	s.room = room * s.correction
+	s.room = slots * s.correction
 	s.divide(classes)
 }
 
@@ -153,8 +155,10 @@
 	case s.settle > 0:
 		s.settle--
 	case crowded:
-		s.correction *= max(math.Sqrt(s.bound/s.waiting), maxReduction)
+		s.correction = max(s.correction*max(firstReduction-furtherReduction*float64(s.reductions), maxReduction), minCorrection)
+		s.reductions++
 		s.settle = settleObservations
+		return
 	case !s.limited:
 		s.correction += (1 - s.correction) * costSmoothing
 	case s.waiting < idlePart*slots && s.correction < 1:
@@ -164,7 +168,10 @@
 	case s.waiting <= s.bound:
 		s.correction *= cautiousRise
 	}
-	s.correction = min(max(s.correction, minCorrection), maxCorrection)
+	s.correction = min(s.correction, maxCorrection)
+	if s.settle == 0 && !crowded {
+		s.reductions = 0
+	}
 }
 
 // divide gives each class its part of the room, the most urgent first.
--- a/director/director.go
+++ b/director/director.go
@@ -231,6 +231,7 @@
 		f = nil
 	}
 	token := p.Token
+	opens := f != nil && f.pinned == 0 && f.openingToken != 0
 	if f != nil {
 		token = d.flows.pin(f, token)
 	}
@@ -248,6 +249,9 @@
 	case d.removed.has(m):
 		return d.decideRemoved(now, p, token, m, route)
 	}
+	if opens {
+		d.pools[m.Service].recordHandshake(now.Sub(f.openingSentAt))
+	}
 	if f != nil {
 		d.recordObservation(now, p, f, m, route.Urgency)
 	}
--- a/director/load.go
+++ b/director/load.go
@@ -66,6 +66,22 @@
 // recordRequest counts a request that began.
 func (d *Director) recordRequest(class aggregator.Class) { d.load.ownOf(class).requests++ }
 
+// pathSmoothing is the divisor of the newest sample in the moving average of the path's time.
+const pathSmoothing = 32
+
+// recordHandshake records the time from the opening of a flow until the caller's next packet,
+// in which packets travel the same way as for a request. Callers send openings again after
+// answerTimeout, so a longer time tells nothing.
+func (p *pool) recordHandshake(took time.Duration) {
+	switch {
+	case took <= 0 || took >= answerTimeout:
+	case p.path == 0:
+		p.path = took
+	default:
+		p.path += (took - p.path) / pathSmoothing
+	}
+}
+
 func (l *load) ownOf(class aggregator.Class) *ownLoad {
 	own := l.own[class]
 	if own == nil {
@@ -107,7 +123,7 @@
 	var observations []admitter.Observation
 	for _, service := range slices.Sorted(maps.Keys(demand)) {
 		if p := d.pools[service]; p != nil {
-			o := admitter.Observation{Service: service, Goal: d.goals[service], Demand: demand[service], Estimated: !current}
+			o := admitter.Observation{Service: service, Goal: d.goals[service], Path: p.path, Demand: demand[service], Estimated: !current}
 			d.addSlots(now, p, &o)
 			observations = append(observations, o)
 		}
--- a/director/view.go
+++ b/director/view.go
@@ -80,6 +80,9 @@
 type pool struct {
 	members []*member
 	demand  demand
+	// path is the mean time that packets travel between this balancer, a target and the
+	// caller, or 0 if it isn't known.
+	path time.Duration
 }
 
 func (p *pool) remove(m *member) {
