--- a/admitter/service.go
+++ b/admitter/service.go
@@ -10,8 +10,8 @@
 const (
 	// maxQueue is how many requests may wait for each slot before flows are turned away.
 	// Targets queue a few requests only and fail the rest, so a longer queue would never
-	// be seen. With flows placed by hash, so many wait at 0.9 of what targets can do.
-	maxQueue = 1.25
+	// be seen. With flows placed by hash, about as many wait when targets are used to 0.95.
+	maxQueue = 1.4
 	// maxWaitPart is the part of the callers' goal that requests may spend waiting for a
 	// slot. The rest is left for the work, the network and retransmissions.
 	maxWaitPart = 0.25
@@ -25,22 +25,26 @@
 	// idlePart is the part of the slots that the waiting requests may fill while the time
 	// that they take is taken as the time for the work alone.
 	idlePart = 0.7
+	// roomPart is the room that is given first, in relation to the slots. It is above 1, since
+	// what full targets fail is tried again on others and costs no work, while slots without a
+	// request are lost.
+	roomPart = 1.15
 	// minShare is the part of the room that each class gets, so that its cost remains
 	// measurable.
 	minShare = 0.01
 
 	// firstReduction is the factor by which the correction falls at first, and
 	// furtherReduction is by how much less the factor is for each further fall in a row, down
-	// to maxReduction. slowRise is
-	// the factor by which it rises while few requests wait, cautiousRise that while as many
-	// wait as there are slots, and fastRise that while targets are idle, until the
-	// correction is 1. With fastRise, a fall to a half in error is made up for in two
-	// seconds.
+	// to maxReduction. slowRise is the factor by which it rises while few requests wait,
+	// cautiousRise that while more than nearBound of the bound wait, and fastRise that while
+	// targets are idle, until the correction is 1. With fastRise, a fall to a half in error is
+	// made up for in two seconds.
 	firstReduction   = 0.9
 	furtherReduction = 0.1
 	maxReduction     = 0.6
 
 	cautiousRise = 1.02
+	nearBound    = 0.75
 	slowRise     = 1.1
 	fastRise     = 1.5
 	// minCorrection and maxCorrection bound the correction: registrations may overstate
@@ -109,14 +113,14 @@
 	}
 	crowded := s.waiting > s.bound && work >= minWork*slots
 	switch {
-	case slots <= 0, s.limited && s.wanted <= slots*s.correction && s.waiting <= s.bound:
+	case slots <= 0, s.limited && s.wanted <= roomPart*slots*s.correction && s.waiting <= s.bound:
 		s.limited = false
-	case !s.limited && crowded && s.wanted > slots*s.correction:
+	case !s.limited && crowded && s.wanted > roomPart*slots*s.correction:
 		s.limited, s.settle = true, settleObservations
 	default:
 		s.adjust(slots, crowded)
 	}
-	s.room = slots * s.correction
+	s.room = roomPart * slots * s.correction
 	s.divide(classes)
 }
 
@@ -163,7 +167,7 @@
 		s.correction += (1 - s.correction) * costSmoothing
 	case s.waiting < idlePart*slots && s.correction < 1:
 		s.correction = min(s.correction*fastRise, 1)
-	case s.waiting < slots:
+	case s.waiting < nearBound*s.bound:
 		s.correction *= slowRise
 	case s.waiting <= s.bound:
 		s.correction *= cautiousRise
