admitter: leave the room uncorrected where one balancer extrapolates

Each balancer corrected the room by its own few answers, so that balancers admitted different parts (rooms of 144 to 216 for 160 slots in a trial).

--- a/admitter/service.go
+++ b/admitter/service.go
@@ -117,6 +117,9 @@
 		s.limited = false
 	case !s.limited && crowded && s.wanted > roomPart*slots*s.correction:
 		s.limited, s.settle = true, settleObservations
+	case o.Estimated:
+		// One balancer sees too few answers to correct the room by them, and balancers that
+		// each corrected it would admit different parts.
 	default:
 		s.adjust(slots, crowded)
 	}
