--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -142,7 +142,7 @@
 	for _, urgency := range slices.Sorted(maps.Keys(o.Demand)) {
 		if c := a.class(aggregator.Class{Service: o.Service, Urgency: urgency}); c != nil {
 			c.demand = sanitize(o.Demand[urgency])
-			c.demand.Concurrency = max(c.demand.Concurrency-c.demand.Answered*o.Path.Seconds(), 0)
+			c.demand.Concurrency = max(c.demand.Concurrency-c.demand.Requests*o.Path.Seconds(), 0)
 			all = append(all, c)
 		}
 	}
--- a/admitter/service.go
+++ b/admitter/service.go
@@ -198,8 +198,9 @@
 // only while few requests wait, and applied to the requests that begin.
 func (c *class) learn(waiting, slots float64) {
 	d := c.demand
-	if d.Answered > 0 && d.Concurrency > 0 && slots > 0 {
-		c.learnWorkTime(d.Concurrency/d.Answered, waiting/slots)
+	if d.Requests > 0 && d.Concurrency > 0 && slots > 0 {
+		// Balancers don't see all answers, but the requests of a quiet time are all answered.
+		c.learnWorkTime(d.Concurrency/d.Requests, waiting/slots)
 	}
 	admitted := d.Openings - d.Rejected
 	if d.Rejected <= 0 {
--- a/director/director.go
+++ b/director/director.go
@@ -152,7 +152,9 @@
 	// openings holds the first opening packets of the flows that were opened within
 	// followUpTimeout, oldest first.
 	openings []forwardedOpening
-	load     load
+	// picture is what the balancers of all availability zones observe of the load.
+	picture aggregator.Picture
+	load    load
 	// pendingChecks is the number of requested checks that have no verdict yet.
 	pendingChecks int
 }
