admitter: reduce the room only while that has an effect, and limit only a clear excess

Cause: under a wave of demand the correction fell three times in a row before the first fall showed, so slots stayed empty; and a demand a little above the slots was limited, where the callers' own tries reach free slots better than any admission that lags.

Change: after a reduction that lowered the waiting requests, the next one is as small as they call for; the room is 1.3 of the slots, and half as much again where one balancer extrapolates; work that explains the waiting requests corrects nothing. A queue of a quarter request a slot is allowed with any goal: rapid found a refusal while as many requests waited as there were slots.

--- a/admitter/admitter_test.go
+++ b/admitter/admitter_test.go
@@ -237,6 +237,19 @@
 	})
 }
 
+// Found by rapid: requests that take longer than callers want to wait fill all slots, and the sum
+// of their classes is above the number of slots by a rounding error.
+func TestLongRequestsAreNotTurnedAwayAtTheirSlots(t *testing.T) {
+	is := is.New(t)
+	var a admitter.Admitter
+	a.Observe(start, []admitter.Observation{{Service: "desk", Slots: slots, Goal: goal, Demand: map[int]aggregator.Demand{
+		0: {Openings: 100, Rejected: 90, Requests: 1, Answered: 1, Concurrency: 2}, 1: {Openings: 100, Rejected: 90, Requests: 1e-13, Answered: 1, Concurrency: 98.00000000000001},
+	}}})
+	for n := range 100 {
+		is.True(a.Admit(start, aggregator.Class{Service: "desk", Urgency: 1}, address(n), hash(n)))
+	}
+}
+
 // Requests wait for targets that died, while others have room. No flow is turned away.
 func TestWaitingForDeadTargetsIsNoOverload(t *testing.T) {
 	is := is.New(t)
--- a/admitter/service.go
+++ b/admitter/service.go
@@ -12,10 +12,13 @@
 	// Targets queue a few requests only and fail the rest, so a longer queue would never
 	// be seen. With flows placed by hash, about as many wait when targets are used to 0.95.
 	maxQueue = 1.4
+	// minQueue is how many requests may wait for each slot with any goal. Flows are placed by
+	// hash, so some targets have room while as many requests wait as there are slots.
+	minQueue = 0.25
 	// maxWaitPart is the part of the callers' goal that requests may spend waiting for a
 	// slot. The rest is left for the work, the network and retransmissions.
 	maxWaitPart = 0.25
-	// estimatedMargin is by how much more than usual must wait if the demand is
+	// estimatedMargin is by how much more than usual must wait and be wanted if the demand is
 	// extrapolated from what one balancer sees.
 	estimatedMargin = 1.5
 	// minWork is the part of the slots that the work of all requests must fill before
@@ -28,7 +31,10 @@
 	// roomPart is the room that is given first, in relation to the slots. It is above 1, since
 	// what full targets fail is tried again on others and costs no work, while slots without a
 	// request are lost.
-	roomPart = 1.15
+	roomPart = 1.3
+	// explainedWork is the work, in relation to the slots, that makes as many requests wait as
+	// the bound.
+	explainedWork = 0.9
 	// minShare is the part of the room that each class gets, so that its cost remains
 	// measurable.
 	minShare = 0.01
@@ -40,12 +46,15 @@
 	// targets are idle, until the correction is 1. With fastRise, a fall to a half in error is
 	// made up for in two seconds.
 	firstReduction   = 0.9
-	furtherReduction = 0.1
+	furtherReduction = 0.15
 	maxReduction     = 0.6
+	// effective is the part of the waiting requests below which they have fallen because of
+	// a reduction.
+	effective = 0.95
 
 	cautiousRise = 1.02
 	nearBound    = 0.75
-	slowRise     = 1.1
+	slowRise     = 1.15
 	fastRise     = 1.5
 	// minCorrection and maxCorrection bound the correction: registrations may overstate
 	// or understate what targets can do by a factor of ten or three.
@@ -70,7 +79,9 @@
 	correction float64
 	settle     int
 	// reductions is the number of falls of the correction in a row.
+	// reducedAt is how many requests waited at the last of them.
 	reductions int
+	reducedAt  float64
 	// wanted, room, waiting and bound are those of State, for all classes.
 	wanted, room, waiting, bound float64
 }
@@ -111,19 +122,25 @@
 	if o.Estimated {
 		s.bound *= estimatedMargin
 	}
+	room := roomPart * slots * s.correction
+	if o.Estimated {
+		room *= estimatedMargin
+	}
 	crowded := s.waiting > s.bound && work >= minWork*slots
 	switch {
-	case slots <= 0, s.limited && s.wanted <= roomPart*slots*s.correction && s.waiting <= s.bound:
+	case slots <= 0, s.limited && s.wanted <= room && s.waiting <= s.bound:
 		s.limited = false
-	case !s.limited && crowded && s.wanted > roomPart*slots*s.correction:
+	case !s.limited && crowded && s.wanted > room:
 		s.limited, s.settle = true, settleObservations
 	case o.Estimated:
 		// One balancer sees too few answers to correct the room by them, and balancers that
 		// each corrected it would admit different parts.
 	default:
-		s.adjust(slots, crowded)
+		before := s.correction
+		s.adjust(slots, work, crowded)
+		room *= s.correction / before
 	}
-	s.room = roomPart * slots * s.correction
+	s.room = room
 	s.divide(classes)
 }
 
@@ -150,21 +167,21 @@
 	if goal <= 0 || workTime <= 0 {
 		return maxQueue
 	}
-	return min(maxQueue, maxWaitPart*goal.Seconds()/workTime)
+	return max(min(maxQueue, maxWaitPart*goal.Seconds()/workTime), minQueue)
 }
 
 // adjust adapts the correction to what the last room led to. The queues of targets fill
 // within milliseconds, and observations lag by a second, so the correction isn't made in
 // proportion to the queue: it moves by limited steps, and waits for the effect of each
 // reduction.
-func (s *service) adjust(slots float64, crowded bool) {
+func (s *service) adjust(slots, work float64, crowded bool) {
 	switch {
 	case s.settle > 0:
 		s.settle--
+	case crowded && !s.limited && work >= explainedWork*slots*s.correction:
+		// So much work makes as many requests wait without any error in the correction.
 	case crowded:
-		s.correction = max(s.correction*max(firstReduction-furtherReduction*float64(s.reductions), maxReduction), minCorrection)
-		s.reductions++
-		s.settle = settleObservations
+		s.reduce()
 		return
 	case !s.limited:
 		s.correction += (1 - s.correction) * costSmoothing
@@ -177,8 +194,21 @@
 	}
 	s.correction = min(s.correction, maxCorrection)
 	if s.settle == 0 && !crowded {
-		s.reductions = 0
+		s.reductions, s.reducedAt = 0, 0
+	}
+}
+
+// reduce lowers the correction: by what the requests that wait call for if the reduction
+// before had an effect, else by more each time.
+func (s *service) reduce() {
+	factor := max(firstReduction-furtherReduction*float64(s.reductions), maxReduction)
+	s.reductions++
+	if s.waiting < effective*s.reducedAt {
+		factor = max(firstReduction, math.Sqrt(s.bound/s.waiting))
+		s.reductions = 1
 	}
+	s.correction = max(s.correction*factor, minCorrection)
+	s.reducedAt, s.settle = s.waiting, settleObservations
 }
 
 // divide gives each class its part of the room, the most urgent first.
