--- a/aggregator/aggregator.go
+++ b/aggregator/aggregator.go
@@ -9,7 +9,23 @@
 //
 // All of this is soft state. It is held in memory only, lost on a restart, and never a
 // condition for forwarding a packet. A balancer without a Picture decides by what it
-// observes itself.
+// observes itself. docs/design/load-reports.md describes the messages.
+//
+// # Usage
+//
+//	recorder.RecordRequest(class, target) // for each packet that begins a request
+//	report := recorder.Take(now)          // about once a second
+//
+// A reader adds the reports that arrive, and its own:
+//
+//	err := combiner.Add(now, age, report)
+//	half := combiner.Round(now) // about once a second, for the zone's other reader
+//	rater.Record(now, combiner.Samples())
+//	summary, ok := combiner.Summary(now, zone, balancers)
+//	atlas.Set(now, 0, summary)
+//	picture := atlas.Picture(now)
+//
+// Nothing here has a clock or does input or output.
 package aggregator
 
 import "time"
@@ -48,7 +64,8 @@
 	// their service, for the targets that don't have speed 1. It is greater than 0 and
 	// at most 1; see package rater.
 	Speeds map[uint64]float64
-	// Age is the time since the end of the observations when the Summary arrived.
+	// Age is the time since the Summary was combined, at most. The reports that it combines
+	// were at most ReportTTL old then.
 	Age time.Duration
 	// Distance is the round-trip time between the own zone and this one. It is 0 if it
 	// isn't known.
