director: count requests by class and target

Cause: load reports need what a balancer sees; only the demand by service was kept.

Change: Director counts offered openings, requests and answers in an aggregator.Recorder; TakeReport ends a window. An observation tells whether a packet acknowledges an answer. Decisions are unchanged.

--- a/aggregator/recorder.go
+++ b/aggregator/recorder.go
@@ -17,6 +17,8 @@
 	start   time.Time
 	classes map[Class]*classEntry
 	targets map[uint64]*targetEntry
+	// last is the class that was counted last. Most packets in a row are of one class.
+	last *classEntry
 }
 
 type classEntry struct {
@@ -60,7 +62,11 @@
 }
 
 func (r *Recorder) class(c Class) *classEntry {
+	if r.last != nil && r.last.Class == c {
+		return r.last
+	}
 	if e := r.classes[c]; e != nil {
+		r.last = e
 		return e
 	}
 	if r.classes == nil {
@@ -99,6 +105,7 @@
 }
 
 func (r *Recorder) takeClasses(report *Report) {
+	r.last = nil
 	for class, e := range r.classes {
 		if (e.ClassCount == ClassCount{Class: class}) {
 			if e.idle++; e.idle > maxIdleWindows {
--- a/director/director.go
+++ b/director/director.go
@@ -149,6 +149,8 @@
 	openings []forwardedOpening
 	// picture is what the balancers of all availability zones observe of the load.
 	picture aggregator.Picture
+	// recorder counts what this balancer observes of the load.
+	recorder aggregator.Recorder
 	// pendingChecks is the number of requested checks that have no verdict yet.
 	pendingChecks int
 }
@@ -245,7 +247,7 @@
 		return d.decideRemoved(now, p, token, m, route)
 	}
 	if f != nil {
-		d.recordObservation(now, p, f, m)
+		d.recordObservation(now, p, f, m, route.Urgency)
 	}
 	if len(p.Data) > 0 && d.mayReset(m, route) {
 		return Decision{Action: Reset, Reason: ReasonTargetUnreachable, Target: &m.Target, Token: token}
@@ -280,8 +282,9 @@
 
 // recordObservation updates the target's health and its service's demand from what a
 // packet shows, and requests a check if the target may be unreachable.
-func (d *Director) recordObservation(now time.Time, p *Packet, f *flow, m *member) {
+func (d *Director) recordObservation(now time.Time, p *Packet, f *flow, m *member, urgency int) {
 	seen := f.update(now, p)
+	d.recordRequests(seen, m, urgency)
 	d.pools[m.Service].demand.record(now, seen)
 	switch {
 	case seen.progress:
@@ -325,6 +328,7 @@
 		// Another balancer may have sent the first copy to a target that can't be known here.
 		return Decision{Action: Drop, Reason: ReasonOpeningUnknown}
 	}
+	d.recordOffer(p, key, route)
 	m := d.choose(now, key, route)
 	if m == nil {
 		return d.decideUnservedOpening(now, p, pickService(key, route.Backends))
--- a/director/flows.go
+++ b/director/flows.go
@@ -82,6 +82,9 @@
 	retransmission bool
 	// requestBegan reports whether a request begins with the packet.
 	requestBegan bool
+	// answered reports whether the packet acknowledges the first part of the answer to a
+	// request.
+	answered bool
 	// requestTime is how long the target took to answer a request. It is 0 unless the
 	// packet acknowledges the answer and carries no data. A packet with data may come much
 	// later than the answer, since a caller may acknowledge the answer only with its next
@@ -97,7 +100,8 @@
 	var seen observation
 	if f.acknowledged == 0 || int32(p.Acknowledged-f.acknowledged) > 0 {
 		seen.progress = true
-		if len(p.Data) == 0 && !f.waitingSince.IsZero() {
+		seen.answered = !f.waitingSince.IsZero()
+		if len(p.Data) == 0 && seen.answered {
 			seen.requestTime = now.Sub(f.waitingSince)
 		}
 		f.acknowledged = p.Acknowledged
--- a/director/load.go
+++ b/director/load.go
@@ -10,3 +10,45 @@
 // zone that the picture lacks is unknown; decisions then follow from what this balancer
 // observes itself.
 func (d *Director) SetPicture(_ time.Time, p aggregator.Picture) { d.picture = p }
+
+// TakeReport returns what this balancer observed since the last call. The caller sets the
+// report's names and clock.
+func (d *Director) TakeReport(now time.Time) aggregator.Report { return d.recorder.Take(now) }
+
+// KnowsService reports whether targets of a service are or were registered, or the configuration
+// has settings of the service.
+func (d *Director) KnowsService(name string) bool {
+	_, configured := d.services[name]
+	return configured || d.pools[name] != nil
+}
+
+// KnowsTarget reports whether a target of a service is registered, or was until recently.
+func (d *Director) KnowsTarget(id uint64, service string) bool {
+	m, known := d.tokens.Get(id)
+	return known && m.Service == service
+}
+
+// ZoneBalancers returns the number of balancers of the own availability zone, at least 1.
+func (d *Director) ZoneBalancers() int { return d.zoneBalancers }
+
+// recordOffer counts the new flow of an opening packet, unless a copy of the packet was counted
+// elsewhere or before.
+func (d *Director) recordOffer(p *Packet, key uint64, route Route) {
+	if p.Retransmissions == 0 {
+		d.recorder.RecordOpening(aggregator.Class{Service: pickService(key, route.Backends), Urgency: route.Urgency})
+	}
+}
+
+// recordRequests counts a request that a packet begins, or whose answer it acknowledges.
+func (d *Director) recordRequests(seen observation, m *member, urgency int) {
+	if !seen.requestBegan && !seen.answered {
+		return
+	}
+	class := aggregator.Class{Service: m.Service, Urgency: urgency}
+	if seen.answered {
+		d.recorder.RecordAnswer(class, m.ID, seen.requestTime)
+	}
+	if seen.requestBegan {
+		d.recorder.RecordRequest(class, m.ID)
+	}
+}
