balancer: exchange load reports

Change: a balancer adds its report to its question for the view, at most once a second, and gets the load of all zones in the answer. Readers ask each other GET /load once a second, combine, rate targets and set Director.SetPicture; a balancer without its zone's load uses its own report. follower.Readers names a zone's readers.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -129,6 +129,7 @@
 
 	responses responseCache
 	follower  *follower.Follower
+	load      *load
 
 	// mu guards director and view.
 	mu       sync.Mutex
@@ -155,6 +156,8 @@
 	b.view.init()
 	b.view.fleet = director.NewFleet(settings.Name, settings.AvailabilityZone)
 	b.director.SetFleet(time.Now(), b.view.fleet)
+	b.load = newLoad(b)
+	b.view.load = b.load
 	b.metrics = newMetricSet(b)
 	b.follower = b.newFollower()
 	return b
@@ -184,6 +187,7 @@
 	group.Go(func() error { return b.follower.Run(workCtx) })
 	group.Go(func() error { return registrar.run(workCtx) })
 	group.Go(func() error { return b.tick(workCtx) })
+	group.Go(func() error { return b.load.run(workCtx) })
 	group.Go(func() error { return b.watchSettings(workCtx) })
 	for range checkWorkers {
 		group.Go(func() error { return b.runChecks(workCtx, conn) })
--- a/balancer/metrics.go
+++ b/balancer/metrics.go
@@ -24,6 +24,10 @@
 	entryErrors       *metrics.Counter
 	peerResponsesLost *metrics.Counter
 	linesLeftOut      *metrics.Counter
+	// loadReportsSent and loadReportsReceived count load reports; the bytes are those of all
+	// messages about the load.
+	loadReportsSent, loadReportsReceived *metrics.Counter
+	loadBytesSent, loadBytesReceived     *metrics.Counter
 	// mu guards decisions. Balancer.mu guards badPackets.
 	mu         sync.Mutex
 	decisions  map[decisionKey]*metrics.Counter
@@ -39,14 +43,18 @@
 func newMetricSet(b *Balancer) *metricSet {
 	set := metrics.NewSet()
 	m := &metricSet{
-		set:               set,
-		batchDuration:     set.NewHistogram("trefoilspring_batch_seconds"),
-		packetsUnsent:     set.NewCounter("trefoilspring_packets_unsent_total"),
-		entryErrors:       set.NewCounter("trefoilspring_entry_errors_total"),
-		peerResponsesLost: set.NewCounter("trefoilspring_peer_answers_lost_total"),
-		linesLeftOut:      set.NewCounter("trefoilspring_log_lines_left_out_total"),
-		decisions:         make(map[decisionKey]*metrics.Counter),
-		badPackets:        make(map[string]*metrics.Counter),
+		set:                 set,
+		batchDuration:       set.NewHistogram("trefoilspring_batch_seconds"),
+		packetsUnsent:       set.NewCounter("trefoilspring_packets_unsent_total"),
+		entryErrors:         set.NewCounter("trefoilspring_entry_errors_total"),
+		peerResponsesLost:   set.NewCounter("trefoilspring_peer_answers_lost_total"),
+		linesLeftOut:        set.NewCounter("trefoilspring_log_lines_left_out_total"),
+		loadReportsSent:     set.NewCounter("trefoilspring_load_reports_sent_total"),
+		loadReportsReceived: set.NewCounter("trefoilspring_load_reports_received_total"),
+		loadBytesSent:       set.NewCounter(`trefoilspring_load_bytes_total{direction="sent"}`),
+		loadBytesReceived:   set.NewCounter(`trefoilspring_load_bytes_total{direction="received"}`),
+		decisions:           make(map[decisionKey]*metrics.Counter),
+		badPackets:          make(map[string]*metrics.Counter),
 	}
 	set.NewGauge("trefoilspring_view_age_seconds", func() float64 {
 		b.mu.Lock()
@@ -81,9 +89,29 @@
 		defer b.mu.Unlock()
 		return float64(len(b.view.peers))
 	})
+	set.NewGauge("trefoilspring_load_combining", func() float64 {
+		b.load.mu.Lock()
+		defer b.load.mu.Unlock()
+		if b.load.combining {
+			return 1
+		}
+		return 0
+	})
+	set.NewGauge("trefoilspring_load_zones", func() float64 { return float64(len(b.load.summaries())) })
+	set.NewGauge("trefoilspring_load_age_seconds", func() float64 {
+		return b.load.summaries()[b.settings.AvailabilityZone].Age.Seconds()
+	})
+	set.NewGauge("trefoilspring_load_reporters", func() float64 {
+		return float64(b.load.summaries()[b.settings.AvailabilityZone].Balancers)
+	})
 	return m
 }
 
+// countDroppedReport counts a load report that wasn't used, or not whole.
+func (m *metricSet) countDroppedReport(reason string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`trefoilspring_load_reports_dropped_total{reason=%q}`, reason)).Inc()
+}
+
 // countDecision counts a decision by action and reason.
 func (m *metricSet) countDecision(d director.Decision) {
 	key := decisionKey{action: d.Action, reason: d.Reason}
--- a/balancer/peers.go
+++ b/balancer/peers.go
@@ -17,6 +17,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"trefoilspring.example/trefoilspring/compressor"
+	"trefoilspring.example/trefoilspring/follower"
 	"trefoilspring.example/trefoilspring/replicator"
 )
 
@@ -91,9 +92,12 @@
 		return replicator.Update{}, 0, errors.Wrapf(err, "requesting the view from peer %s", address)
 	}
 	client := v.client
-	if !v.usable {
+	if v.usable {
+		v.load.attach(address, req.Header)
+	} else {
 		client = v.firstViewClient
 	}
+	sent := v.load.balancer.ViewClock()
 	res, err := client.Do(req)
 	if err != nil {
 		return replicator.Update{}, 0, errors.Wrapf(err, "requesting the view from peer %s", address)
@@ -119,6 +123,7 @@
 	if err != nil {
 		return replicator.Update{}, 0, errors.Wrapf(err, "decoding the response of peer %s: header %s", address, waitedHeader)
 	}
+	v.load.takeAnswer(address, res.Header, follower.PeerAnswerAge(v.load.balancer.ViewClock().Sub(sent), time.Duration(waitedMs)*time.Millisecond))
 	if u.Revision == 0 {
 		return replicator.Update{}, 0, errors.Wrapf(errNoView, "requesting the view from peer %s", address)
 	}
@@ -129,6 +134,7 @@
 func (b *Balancer) servePeers(ctx context.Context) error {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+viewPath, b.handleView)
+	mux.HandleFunc("GET "+loadPath, b.load.handle)
 	return serveHTTP(ctx, b.settings.PeerAddress, mux)
 }
 
@@ -146,6 +152,7 @@
 		return
 	}
 	arrived := b.ViewClock()
+	reported := b.load.takeRequest(r)
 	u := b.awaitUpdate(r.Context(), after, min(time.Duration(ms)*time.Millisecond, maxPeerWait))
 	waited := b.ViewClock().Sub(arrived)
 	b.compressItems(u.Items)
@@ -160,6 +167,9 @@
 	}
 	w.Header().Set(cacheAgeHeader, strconv.FormatInt(b.ViewClock().Sub(res.encodedAt).Milliseconds(), 10))
 	w.Header().Set(waitedHeader, strconv.FormatInt(waited.Milliseconds(), 10))
+	if reported {
+		b.load.answer(w.Header())
+	}
 	if _, err := w.Write(res.body); err != nil {
 		b.metrics.peerResponsesLost.Inc()
 	}
--- a/balancer/view.go
+++ b/balancer/view.go
@@ -50,6 +50,8 @@
 	changeLimiter *logger.Limiter
 	// source names the store or the peer that the last update came from.
 	source string
+	// load takes part in the requests for updates from peers.
+	load *load
 	// pulse measures for how long the process stood still between two updates.
 	pulse pulse
 }
