--- a/aggregator/codec_test.go
+++ b/aggregator/codec_test.go
@@ -129,7 +129,7 @@
 			}
 		}
 		var atlas aggregator.Atlas
-		if s, ok := c.Summary(start, "a", 3); ok {
+		if s, ok := c.Summary(start, "a", names(3)); ok {
 			atlas.Set(start, 0, s)
 		}
 		if p, err := aggregator.DecodePicture(data); err == nil {
--- a/aggregator/combiner.go
+++ b/aggregator/combiner.go
@@ -9,6 +9,13 @@
 )
 
 const (
+	// ceasedAfter is the time without a report after which a balancer that reported before gets
+	// no packets any more. The routers stop sending to a balancer that is dead after 1.5 s, and
+	// to one without recent data of the store after 3 s.
+	ceasedAfter = 3500 * time.Millisecond
+	// lastReportTTL is how long a balancer's last report is remembered. The registration of a
+	// dead balancer ends after 20 s.
+	lastReportTTL = 30 * time.Second
 	// ReportTTL is how long after the end of its window a Report counts. Balancers report once
 	// a second, and a request to a reader that doesn't answer takes 1.1 s.
 	ReportTTL = 2 * time.Second
@@ -39,6 +46,8 @@
 	samples []rater.Sample
 	// meanTimes holds the last known mean time of the answers of each class.
 	meanTimes map[Class]time.Duration
+	// lastReports holds when the last window of each balancer ended.
+	lastReports map[string]time.Time
 	// left counts the entries left out since the last call of Unknown.
 	left int
 }
@@ -159,30 +168,3 @@
 	}
 	return reports
 }
-
-// Summary combines the reports that count into the Summary of a zone with a number of
-// balancers. If some of them are missing, the rates are scaled as if these saw as much as the
-// others. The boolean is false if no report counts.
-func (c *Combiner) Summary(now time.Time, zone string, balancers int) (Summary, bool) {
-	reports := c.current(now)
-	if len(reports) == 0 {
-		return Summary{}, false
-	}
-	scale := float64(max(balancers, len(reports))) / float64(len(reports))
-	s := Summary{AvailabilityZone: zone, Balancers: len(reports), Demand: make(map[Class]Demand)}
-	meanTimes := make(map[Class]time.Duration)
-	for class, b := range boundsOf(reports) {
-		sum := b.sum(reports, class)
-		meanTime := c.meanTimes[class]
-		if sum.timed > 0 {
-			meanTime = time.Duration(float64(sum.time) / sum.timed)
-		}
-		meanTimes[class] = meanTime
-		s.Demand[class] = Demand{
-			Openings: scale * sum.openings, Rejected: scale * sum.rejected, Requests: scale * sum.requests,
-			Answered: scale * sum.answered, Concurrency: scale * sum.requests * meanTime.Seconds(),
-		}
-	}
-	c.meanTimes = meanTimes
-	return s, true
-}
--- a/aggregator/combiner_test.go
+++ b/aggregator/combiner_test.go
@@ -46,6 +46,15 @@
 	}
 }
 
+// names returns the names of the zone's first balancers.
+func names(count int) []string {
+	list := make([]string, count)
+	for n := range list {
+		list[n] = newReport(n, 0).Balancer
+	}
+	return list
+}
+
 // add adds the honest reports of balancers.
 func add(is *is.I, c *aggregator.Combiner, now time.Time, from, to int) {
 	for n := from; n < to; n++ {
@@ -63,7 +72,7 @@
 	is := is.New(t)
 	var c aggregator.Combiner
 	add(is, &c, start, 0, balancers)
-	s, ok := c.Summary(start, "a", balancers)
+	s, ok := c.Summary(start, "a", names(balancers))
 	is.True(ok)
 	is.Equal(s.Balancers, balancers)
 	isWithin(is, s.Demand[orders].Requests, balancers*rate, 1e-6)
@@ -74,7 +83,7 @@
 	is := is.New(t)
 	var c aggregator.Combiner
 	add(is, &c, start, 0, balancers/4)
-	s, _ := c.Summary(start, "a", balancers)
+	s, _ := c.Summary(start, "a", names(balancers))
 	is.Equal(s.Balancers, balancers/4)
 	isWithin(is, s.Demand[orders].Openings, balancers*rate, 1e-6)
 }
@@ -90,13 +99,35 @@
 	var invalid *aggregator.InvalidError
 	is.True(errors.As(c.Add(later, aggregator.ReportTTL+time.Millisecond, newReport(0, 1)), &invalid))
 	is.Equal(invalid.Reason(), aggregator.ReasonTooOld)
-	s, _ := c.Summary(later, "a", balancers)
+	s, _ := c.Summary(later, "a", names(balancers))
 	is.Equal(s.Balancers, balancers-1)
 	isWithin(is, s.Demand[orders].Requests, balancers*rate, 1e-6)
-	_, ok := c.Summary(later.Add(aggregator.ReportTTL+time.Millisecond), "a", balancers)
+	_, ok := c.Summary(later.Add(aggregator.ReportTTL+time.Millisecond), "a", names(balancers))
 	is.True(!ok)
 }
 
+// Load pattern: a third of a zone's balancers lose power, and the routers send their packets to
+// the others. A balancer that hears nobody any more takes itself for cut off.
+func TestDeadBalancersAreNotScaledForLong(t *testing.T) {
+	is := is.New(t)
+	var c aggregator.Combiner
+	add(is, &c, start, 0, 15)
+	rateAt := func(seconds time.Duration, reporting, factor int) float64 {
+		now := start.Add(seconds * time.Second)
+		for n := range reporting {
+			is.NoErr(c.Add(now, 0, newReport(n, factor)))
+		}
+		s, ok := c.Summary(now, "a", names(15))
+		is.True(ok)
+		return s.Demand[orders].Requests
+	}
+	isWithin(is, rateAt(0, 0, 0), 15*rate, 1e-6)
+	isWithin(is, rateAt(3, 10, 1), 15*rate, 1e-6)
+	isWithin(is, rateAt(4, 10, 2), 10*2*rate, 1e-6)
+	isWithin(is, rateAt(19, 10, 2), 10*2*rate, 1e-6)
+	isWithin(is, rateAt(25, 1, 1), 15*rate, 1e-6)
+}
+
 // Load pattern: one balancer reports numbers, or times, that are far too high or too low.
 func TestLyingReporterMovesNoMoreThanAFewShares(t *testing.T) {
 	slow := newReport(0, 1)
@@ -110,7 +141,7 @@
 			var c aggregator.Combiner
 			is.NoErr(c.Add(start, 0, lie))
 			add(is, &c, start, 1, balancers)
-			s, _ := c.Summary(start, "a", balancers)
+			s, _ := c.Summary(start, "a", names(balancers))
 			const shares = 4.0 / balancers
 			d := s.Demand[orders]
 			isWithin(is, d.Openings, balancers*rate, shares)
@@ -130,7 +161,7 @@
 	var c aggregator.Combiner
 	is.NoErr(c.Add(start, 0, newReport(0, 1000)))
 	add(is, &c, start, 1, 3)
-	s, _ := c.Summary(start, "a", 3)
+	s, _ := c.Summary(start, "a", names(3))
 	is.True(s.Demand[orders].Requests <= 2000+2*rate)
 }
 
@@ -153,8 +184,8 @@
 	}
 	now := start.Add(time.Second)
 	exchange(now, &a, &b)
-	summaryA, _ := a.Summary(now, "a", balancers)
-	summaryB, _ := b.Summary(now, "a", balancers)
+	summaryA, _ := a.Summary(now, "a", names(balancers))
+	summaryB, _ := b.Summary(now, "a", names(balancers))
 	is.Equal(summaryA, summaryB)
 	is.Equal(summaryA.Balancers, balancers)
 	isWithin(is, summaryA.Demand[orders].Requests, 1.5*balancers*rate, 1e-6)
@@ -189,7 +220,7 @@
 	exchange(start, &a, &b)
 	later := start.Add(aggregator.ReportTTL + time.Millisecond)
 	add(is, &a, later, 0, balancers)
-	s, _ := a.Summary(later, "a", balancers)
+	s, _ := a.Summary(later, "a", names(balancers))
 	is.Equal(s.Balancers, balancers)
 	isWithin(is, s.Demand[orders].Requests, balancers*rate, 1e-6)
 }
@@ -238,6 +269,6 @@
 	samples := c.Samples()
 	is.Equal(len(samples), 1)
 	is.Equal(samples[0].Target, uint64(2))
-	s, _ := c.Summary(start, "a", 1)
+	s, _ := c.Summary(start, "a", names(1))
 	is.Equal(len(s.Demand), 1)
 }
--- a/aggregator/recorder.go
+++ b/aggregator/recorder.go
@@ -91,12 +91,12 @@
 
 // Take returns the Report of the window that ends at now, and begins the next window. The
 // caller sets the Report's names and clock. The first call only begins a window; its Report has
-// no length and isn't valid. If there are too many entries, those with the fewest requests are
+// no length and isn't valid, like that of a window in which the balancer stood still. If there are too many entries, those with the fewest requests are
 // left out.
 func (r *Recorder) Take(now time.Time) Report {
 	var report Report
-	if !r.start.IsZero() {
-		report.Window = now.Sub(r.start)
+	if window := now.Sub(r.start); !r.start.IsZero() && window <= maxWindow {
+		report.Window = window
 	}
 	r.start = now
 	r.takeClasses(&report)
--- a/balancer/load.go
+++ b/balancer/load.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"trefoilspring.example/trefoilspring/aggregator"
 	"trefoilspring.example/trefoilspring/follower"
 	"trefoilspring.example/trefoilspring/logger"
@@ -20,18 +20,10 @@
 	// maxReportDelay is the time after which a balancer ends a window though it has asked no
 	// peer. Its own requests take up to 1.1 s if the peer doesn't answer.
 	maxReportDelay = 1400 * time.Millisecond
-	// droppedReportLinesPerSecond limits the log lines about reports that are dropped.
-	droppedReportLinesPerSecond = 1
 	// maxReaderClocks limits the peers whose clocks are known.
 	maxReaderClocks = 64
 )
 
-// Reasons for dropping a load report, beside those of aggregator.InvalidError.
-const (
-	reasonUnknownBalancer = "unknown-balancer"
-	reasonUnknownEntry    = "unknown-target"
-)
-
 // load exchanges load reports with other balancers. Balancer.mu may be taken while load.mu is
 // held, but not the other way round. Times are those of Balancer.ViewClock.
 type load struct {
@@ -58,7 +50,10 @@
 	pictureAt   time.Time
 	pictureText string
 	// zones holds the zones of the last Picture.
-	zones          map[string]bool
+	zones map[string]bool
+	// members holds the balancers of the own zone by name, with the last time at which each was
+	// registered.
+	members        map[string]time.Time
 	backoffs       map[string]time.Time
 	droppedLimiter *logger.Limiter
 }
@@ -71,7 +66,7 @@
 
 func newLoad(b *Balancer) *load {
 	l := &load{
-		balancer: b, clocks: make(map[string]peerClock), zones: make(map[string]bool),
+		balancer: b, members: make(map[string]time.Time), clocks: make(map[string]peerClock), zones: make(map[string]bool),
 		backoffs: make(map[string]time.Time), droppedLimiter: logger.NewLimiter(droppedReportLinesPerSecond),
 	}
 	l.combiner.KnowsService = b.director.KnowsService
@@ -99,7 +94,7 @@
 	b := l.balancer
 	b.mu.Lock()
 	fromStore := b.view.source == follower.Source{}.String()
-	usable, zoneBalancers := b.view.usable, b.director.ZoneBalancers()
+	usable := b.view.usable
 	b.mu.Unlock()
 	if !usable {
 		return
@@ -111,6 +106,7 @@
 		l.takeReport(now)
 	}
 	l.setCombining(combining)
+	l.updateMembers(now)
 	l.mu.Unlock()
 	if combining {
 		l.askReaders(ctx)
@@ -121,7 +117,7 @@
 	_, known := l.atlas.Picture(now).Zones[b.settings.AvailabilityZone]
 	var own aggregator.Picture
 	if combining || !known {
-		own = l.combine(now, zoneBalancers)
+		own = l.combine(now)
 	}
 	if combining {
 		l.atlas.SetPicture(now, 0, own)
@@ -135,10 +131,10 @@
 
 // combine returns a Picture of the own zone from the reports that this balancer has. l.mu must be
 // held.
-func (l *load) combine(now time.Time, zoneBalancers int) aggregator.Picture {
+func (l *load) combine(now time.Time) aggregator.Picture {
 	l.rater.Record(now, l.combiner.Samples())
 	zone := l.balancer.settings.AvailabilityZone
-	s, ok := l.combiner.Summary(now, zone, zoneBalancers)
+	s, ok := l.combiner.Summary(now, zone, slices.Collect(maps.Keys(l.members)))
 	if !ok {
 		return aggregator.Picture{}
 	}
@@ -163,65 +159,6 @@
 	b.mu.Unlock()
 }
 
-// takeReport ends the window of the balancer's own report. l.mu must be held.
-func (l *load) takeReport(now time.Time) {
-	b := l.balancer
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	l.report, l.takenAt = b.director.TakeReport(now), now
-	l.report.Balancer, l.report.AvailabilityZone = b.settings.Name, b.settings.AvailabilityZone
-	if l.report.Window > 0 {
-		l.countDropped(now, b.settings.Name, l.combiner.Add(now, 0, l.report))
-	}
-}
-
-// receive adds a report that arrived from another balancer.
-func (l *load) receive(data []byte) {
-	b := l.balancer
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	now := b.ViewClock()
-	r, err := aggregator.DecodeReport(data)
-	if err != nil {
-		l.countDropped(now, "", err)
-		return
-	}
-	if r.Window == 0 {
-		return // the sender only asks for the Picture and the clock
-	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if p, known := b.view.peers[r.Balancer]; !known || p.AvailabilityZone != b.settings.AvailabilityZone || r.AvailabilityZone != p.AvailabilityZone {
-		l.drop(now, r.Balancer, reasonUnknownBalancer)
-		return
-	}
-	age := time.Duration(now.UnixNano()-r.Clock) - r.Held
-	if err = l.combiner.Add(now, age, r); err == nil {
-		b.metrics.loadReportsReceived.Inc()
-	}
-	l.countDropped(now, r.Balancer, err)
-	if l.combiner.Unknown() > 0 {
-		l.drop(now, r.Balancer, reasonUnknownEntry)
-	}
-}
-
-// countDropped counts a report that isn't used because of an error. l.mu must be held.
-func (l *load) countDropped(now time.Time, from string, err error) {
-	var invalid *aggregator.InvalidError
-	if errors.As(err, &invalid) {
-		l.drop(now, from, invalid.Reason())
-	}
-}
-
-// drop counts a report of a balancer that isn't used, or not whole, and logs it within a limit.
-// l.mu must be held.
-func (l *load) drop(now time.Time, from, reason string) {
-	l.balancer.metrics.countDroppedReport(reason)
-	if suppressed, ok := l.droppedLimiter.Allow(now); ok {
-		l.balancer.log.Warn("load report dropped", "peer", from[:min(len(from), maxCauseBytes)], "reason", reason, "left-out", suppressed)
-	}
-}
-
 // setCombining sets whether this balancer combines reports, and logs a change. l.mu must be held.
 func (l *load) setCombining(combining bool) {
 	if combining == l.combining {
--- a/balancer/load_test.go
+++ b/balancer/load_test.go
@@ -91,14 +91,19 @@
 func TestUnusableLoadReportsAreDropped(t *testing.T) {
 	is := is.New(t)
 	n, _, _ := newReadyNode(t)
+	n.awaitMetric(t, "trefoilspring_load_zones 1") // the balancer knows itself as one of its zone
 	stranger := aggregator.Report{Balancer: "stranger", AvailabilityZone: "a", Window: time.Second}
 	data, err := stranger.Encode()
 	is.NoErr(err)
+	frozen := aggregator.Report{Balancer: "n1", AvailabilityZone: "a", Window: time.Second, Clock: 1}
+	frozenData, err := frozen.Encode()
+	is.NoErr(err)
 	for report, reason := range map[string]string{
 		"AgA":        "newer-format",
 		"not base64": "malformed",
-		base64.RawStdEncoding.EncodeToString(data): "unknown-balancer",
-		strings.Repeat("A", 20000):                 "too-large",
+		base64.RawStdEncoding.EncodeToString(data):       "unknown-balancer",
+		base64.RawStdEncoding.EncodeToString(frozenData): "too-old",
+		strings.Repeat("A", 20000):                       "too-large",
 	} {
 		req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+n.settings.PeerAddress.String()+"/view?after=0&wait-ms=0", nil)
 		is.NoErr(err)
--- a/director/load.go
+++ b/director/load.go
@@ -28,9 +28,6 @@
 	return known && m.Service == service
 }
 
-// ZoneBalancers returns the number of balancers of the own availability zone, at least 1.
-func (d *Director) ZoneBalancers() int { return d.zoneBalancers }
-
 // recordOffer counts the new flow of an opening packet, unless a copy of the packet was counted
 // elsewhere or before.
 func (d *Director) recordOffer(p *Packet, key uint64, route Route) {
