--- a/balancer/load.go
+++ b/balancer/load.go
@@ -53,7 +53,9 @@
 	zones map[string]bool
 	// members holds the balancers of the own zone by name, with the last time at which each was
 	// registered.
-	members        map[string]time.Time
+	members map[string]time.Time
+	// backoffs holds the readers whose last answer failed, by address, with the time before which
+	// each isn't asked again.
 	backoffs       map[string]time.Time
 	droppedLimiter *logger.Limiter
 }
--- a/balancer/loadmessages.go
+++ b/balancer/loadmessages.go
@@ -93,11 +93,7 @@
 		return
 	}
 	l.balancer.metrics.loadBytesReceived.Add(len(text))
-	data, err := loadEncoding.DecodeString(text)
-	var p aggregator.Picture
-	if err == nil {
-		p, err = aggregator.DecodePicture(data)
-	}
+	p, err := aggregator.DecodePicture(decodeHeader(text))
 	l.mu.Lock()
 	if err != nil {
 		l.countDropped(now, address, err)
@@ -117,12 +113,18 @@
 		return false
 	}
 	l.balancer.metrics.loadBytesReceived.Add(len(text))
+	l.receive(decodeHeader(text))
+	return true
+}
+
+// decodeHeader returns the message in a header, or nil, which is no valid message, if the header
+// isn't in base64.
+func decodeHeader(text string) []byte {
 	data, err := loadEncoding.DecodeString(text)
 	if err != nil {
-		data = nil
+		return nil
 	}
-	l.receive(data)
-	return true
+	return data
 }
 
 // answer adds the load of all zones to the response to a request with a report.
--- a/balancer/loadreaders.go
+++ b/balancer/loadreaders.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"net/http"
 	"net/url"
 	"slices"
@@ -42,13 +43,14 @@
 func (l *load) readersToAsk() []follower.Peer {
 	self := l.balancer.self()
 	peers := append(l.peers(), self)
-	zones := make(map[string]bool)
+	zones, addresses := make(map[string]bool), make(map[string]bool)
 	for _, p := range peers {
-		zones[p.AvailabilityZone] = true
+		zones[p.AvailabilityZone], addresses[p.Address] = true, true
 	}
 	now := l.balancer.ViewClock()
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	maps.DeleteFunc(l.backoffs, func(address string, _ time.Time) bool { return !addresses[address] })
 	var asked []follower.Peer
 	for zone := range zones {
 		readers := follower.Readers(peers, zone, func(p follower.Peer) bool { return now.After(l.backoffs[p.Address]) })
@@ -68,12 +70,19 @@
 	now := b.ViewClock()
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	_, failedBefore := l.backoffs[p.Address]
 	if err != nil {
 		l.backoffs[p.Address] = now.Add(readerBackoff)
 		l.countDropped(now, p.Name, err)
+		if !failedBefore && ctx.Err() == nil {
+			b.log.Warn("source of load lost", "peer", p.Name, "zone", p.AvailabilityZone, "cause", err.Error())
+		}
 		return
 	}
-	delete(l.backoffs, p.Address)
+	if failedBefore {
+		delete(l.backoffs, p.Address)
+		b.log.Info("source of load regained", "peer", p.Name, "zone", p.AvailabilityZone)
+	}
 	elapsed := now.Sub(sent)
 	if a.Half != nil && p.AvailabilityZone == b.settings.AvailabilityZone {
 		l.combiner.AddHalf(now, p.Name, elapsed, *a.Half)
