--- a/director/director.go
+++ b/director/director.go
@@ -159,6 +159,8 @@
 	speedsAt     time.Time
 	speedChanges []SpeedChange
 	load         load
+	// recorder counts what this balancer observes of the load.
+	recorder aggregator.Recorder
 	// pendingChecks is the number of requested checks that have no verdict yet.
 	pendingChecks int
 }
@@ -296,9 +298,7 @@
 // packet shows, and requests a check if the target may be unreachable.
 func (d *Director) recordObservation(now time.Time, p *Packet, f *flow, m *member, urgency int) {
 	seen := f.update(now, p)
-	if seen.requestBegan {
-		d.recordRequest(aggregator.Class{Service: m.Service, Urgency: urgency})
-	}
+	d.recordRequests(seen, m, urgency)
 	d.pools[m.Service].demand.record(now, seen)
 	switch {
 	case seen.progress:
