director: new flows leave the zone by the plan for all zones

Cause: with half of the slots as a constant, flows left a zone where leaving gained nothing, and went to any zone.

Change: once a second, Tick plans each service's flows (package spreader); chooseLocal follows the plan, and the constant share without a picture. status, explain, a log line and a gauge show the plan.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -219,6 +219,7 @@
 			b.view.pulse.beat(b.ViewClock())
 			b.director.SetFleet(now, b.view.fleet)
 			b.director.Tick(now)
+			b.reportSpreads(now)
 			checks := b.director.TakeChecks()
 			b.mu.Unlock()
 			b.enqueueChecks(checks)
--- a/balancer/explain.go
+++ b/balancer/explain.go
@@ -55,6 +55,7 @@
 			SuspectZones:       health.SuspectZones,
 			ZonesOut:           health.ZonesOut,
 			CrowdedServices:    health.CrowdedServices,
+			Spreads:            explainSpreads(b.director.Spreads()),
 		},
 	}
 	for name := range b.view.peers {
@@ -84,6 +85,7 @@
 		Recorded:       e.Tracked,
 		Opening:        outcome(e.Opening),
 		Established:    outcome(e.Established),
+		Zone:           explainPlacement(e.Placement),
 	}
 }
 
--- a/cmd_explain.go
+++ b/cmd_explain.go
@@ -61,6 +61,9 @@
 	if e.Tracked {
 		fmt.Fprintf(&b, "tracked      base target %s, current target %s, resolver %s\n", e.BaseTarget, e.CurrentTarget, e.Resolver)
 	}
+	if e.Zone != "" {
+		fmt.Fprintf(&b, "zone         %s\n", e.Zone)
+	}
 	fmt.Fprintf(&b, "opening      %s\n", outcomeText(e.Opening))
 	fmt.Fprintf(&b, "established  %s\n", outcomeText(e.Established))
 	return b.String()
--- a/cmd_status.go
+++ b/cmd_status.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strconv"
 	"strings"
 	"text/tabwriter"
 
@@ -185,6 +186,18 @@
 			fmt.Fprintf(b, "%s: %s: %s\n", s.Name, list.title, strings.Join(list.names, ", "))
 		}
 	}
+	for _, spread := range v.Spreads {
+		fmt.Fprintf(b, "%s: service %s in %s: demand %s, %.1f slots, part %s of new flows\n",
+			s.Name, spread.Service, spread.AvailabilityZone, optionalNumber(spread.Demand, 1), spread.Slots, optionalNumber(spread.Part, 2))
+	}
+}
+
+// optionalNumber formats a number that may be unknown.
+func optionalNumber(n *float64, decimals int) string {
+	if n == nil {
+		return "unknown"
+	}
+	return strconv.FormatFloat(*n, 'f', decimals, 64)
 }
 
 // writeCounts writes the counts by reason, in the order of the reasons.
--- a/director/director.go
+++ b/director/director.go
@@ -105,8 +105,9 @@
 // Director makes the decisions of one balancer and holds the state that they depend on.
 type Director struct {
 	seed uint64
-	// zone is the balancer's own availability zone.
-	zone string
+	// zone is the balancer's own availability zone, and ownZone its health.
+	zone    string
+	ownZone *zoneHealth
 	// configured reports whether a configuration is in force, and version is its version.
 	configured bool
 	routes     map[netip.AddrPort]Route
@@ -149,6 +150,8 @@
 	openings []forwardedOpening
 	// picture is what the balancers of all availability zones observe of the load.
 	picture aggregator.Picture
+	// pictureAt is when it was set.
+	pictureAt time.Time
 	// pendingChecks is the number of requested checks that have no verdict yet.
 	pendingChecks int
 }
@@ -157,7 +160,7 @@
 // zone. The seed differs between balancers, so that they don't all send the first flows
 // to a cold target at the same moment or check the same targets of a zone.
 func New(seed uint64, zone string) *Director {
-	return &Director{
+	d := &Director{
 		seed:          seed,
 		zone:          zone,
 		routes:        make(map[netip.AddrPort]Route),
@@ -174,6 +177,8 @@
 		balancers:     1,
 		zoneBalancers: 1,
 	}
+	d.ownZone = d.zoneHealthOf(zone)
+	return d
 }
 
 // Decide returns the decision on a packet.
@@ -381,8 +386,8 @@
 	return m, ok && !d.removed.has(m)
 }
 
-// Tick removes expired flows and targets, ends demand windows that are over and requests
-// checks that are due. It must be called about once a second.
+// Tick removes expired flows and targets, ends demand windows that are over, requests checks
+// that are due and plans which new flows leave the own zone. It must be called about once a second.
 func (d *Director) Tick(now time.Time) {
 	d.flows.expire(now)
 	for _, p := range d.pools {
@@ -394,4 +399,5 @@
 	d.absentRoutes.expire(now)
 	d.absentTargets.expire(now)
 	d.tokens.Expire(now)
+	d.updateSpreads(now)
 }
--- a/director/explain.go
+++ b/director/explain.go
@@ -20,6 +20,8 @@
 	// pinned to or else the token of Opening.
 	Opening     Decision
 	Established Decision
+	// Placement says in which zone a new flow of this caller's address and port belongs.
+	Placement Placement
 }
 
 // Explain returns the decisions on the packets of the flow of p, and changes nothing. It
@@ -37,6 +39,7 @@
 	if routed {
 		e.Route, e.Service = route.Name, pickService(key, route.Backends)
 		e.Opening = d.explainOpening(now, key, f, e.Service)
+		e.Placement = d.explainPlacement(now, key, e.Service)
 	} else {
 		since, sought := d.absentRoutes.sought(p.Destination)
 		e.Opening = refuse(sought && d.isAbsent(now, since), ReasonNoRoute, ReasonUnknownRoute)
--- a/director/locality.go
+++ b/director/locality.go
@@ -1,13 +1,12 @@
 package director
 
-import "time"
+import (
+	"time"
+
+	"trefoilspring.example/trefoilspring/spreader"
+)
 
 const (
-	// maxLocalUse is the part of the slots in the own zone that the requests of the zone's
-	// callers may occupy before some of their flows go to other zones. A slot is the
-	// capacity for one request at a time. With three slots per target and half of them in
-	// use, one request in four waits, for 10 ms on average.
-	maxLocalUse = 0.5
 	// demandWindow is how long requests are counted for one sample of the demand. A
 	// small balancer sees ten requests in it.
 	demandWindow = time.Second
@@ -75,19 +74,22 @@
 	dm.windowStart, dm.requests, dm.timedRequests, dm.totalTime = now, 0, 0, 0
 }
 
-// chooseLocal returns the highest-ranked target of the own zone. It returns nil if no target
-// of the zone is ready, or if the flow is among those that the zone lacks capacity for.
+// chooseLocal returns the highest-ranked target of the zone that the flow goes to: the own
+// zone or, by the plan of its service, another one. It returns nil if no target of the zone is
+// ready, or if there is no plan and the flow is among those that the own zone lacks capacity
+// for.
 //
 // Load patterns: zones are cut off from each other, and only flows that cross between zones
 // are lost; and callers of one zone send more requests than its targets can handle.
 func (d *Director) chooseLocal(now time.Time, key uint64, p *pool) *member {
-	if unitInterval(hashPair(key, localitySalt)) >= d.localShare(now, p) {
+	zone := d.zoneFor(now, key, p)
+	if zone == nil {
 		return nil
 	}
 	var best *member
 	var bestScore float64
 	for _, m := range p.members {
-		if !d.isReadyLocally(now, m) {
+		if !d.isReadyIn(now, m, zone) {
 			continue
 		}
 		if s := score(key, m); s > bestScore {
@@ -97,13 +99,32 @@
 	return best
 }
 
-// localShare returns the part of new flows that the own zone has capacity for, from 0 to 1.
+// zoneFor returns the zone that a flow goes to, or nil if it may go to any.
+func (d *Director) zoneFor(now time.Time, key uint64, p *pool) *zoneHealth {
+	position := unitInterval(hashPair(key, localitySalt))
+	if s := &p.spread; s.share.Known {
+		if i := s.share.Index(position); i >= 0 {
+			return s.zones[i]
+		}
+		return d.ownZone
+	}
+	if position >= d.localShare(now, p) {
+		return nil
+	}
+	return d.ownZone
+}
+
+// localShare returns the part of new flows that stays in the own zone, from 0 to 1. Without a
+// plan it is the part that the zone has capacity for by the demand that this balancer sees.
 // The routers spread a zone's packets evenly over its balancers. The demand of the zone is
 // therefore the demand that this balancer sees times the number of balancers in the zone.
 func (d *Director) localShare(now time.Time, p *pool) float64 {
+	if p.spread.share.Known {
+		return p.spread.share.Home()
+	}
 	localSlots := 0.0
 	for _, m := range p.members {
-		if d.isReadyLocally(now, m) {
+		if d.isReadyIn(now, m, d.ownZone) {
 			localSlots += m.slots()
 		}
 	}
@@ -113,7 +134,7 @@
 		}
 		return 1
 	}
-	demanded, available := p.demand.concurrency*float64(d.zoneBalancers), maxLocalUse*localSlots
+	demanded, available := p.demand.concurrency*float64(d.zoneBalancers), spreader.MaxLocalUse*localSlots
 	if demanded > available {
 		return available / demanded
 	}
@@ -151,8 +172,8 @@
 	return false
 }
 
-// isReadyLocally reports whether a target is in the own zone and ready for any new flow: it
-// accepts new flows and is neither suspect nor cold.
-func (d *Director) isReadyLocally(now time.Time, m *member) bool {
-	return m.AvailabilityZone == d.zone && d.acceptsNewFlows(m) && !m.isSuspect(now) && !now.Before(m.coldUntil)
+// isReadyIn reports whether a target is in a zone and ready for any new flow: it accepts new
+// flows and is neither suspect nor cold.
+func (d *Director) isReadyIn(now time.Time, m *member, zone *zoneHealth) bool {
+	return m.zone == zone && d.acceptsNewFlows(m) && !m.isSuspect(now) && !now.Before(m.coldUntil)
 }
--- /dev/null
+++ b/director/spread.go
@@ -0,0 +1,104 @@
+package director
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"trefoilspring.example/trefoilspring/aggregator"
+	"trefoilspring.example/trefoilspring/spreader"
+)
+
+// maxPictureAge is the time after which a picture that hasn't been replaced isn't used for
+// plans. Summaries are about a second old when they arrive, and a picture comes each second.
+const maxPictureAge = 5 * time.Second
+
+// spread is the plan for the new flows of one service (package spreader).
+type spread struct {
+	planner spreader.Planner
+	load    spreader.Load
+	share   spreader.Share
+	// zones holds the zones of share.Away.
+	zones []*zoneHealth
+	// reportedAway is what TakeSpreadChanges last returned, and reportedAt when.
+	reportedAway bool
+	reportedAt   time.Time
+}
+
+// updateSpreads plans for each service which of its new flows leave the own zone.
+func (d *Director) updateSpreads(now time.Time) {
+	if now.Sub(d.pictureAt) > maxPictureAge {
+		d.picture = aggregator.Picture{}
+	}
+	goals := d.goals()
+	for service, p := range d.pools {
+		s := &p.spread
+		s.load = spreader.Load{Own: d.zone, Goal: goals[service], Zones: d.zoneLoads(now, service, p)}
+		s.share = s.planner.Update(now, s.load)
+		s.zones = s.zones[:0]
+		for _, part := range s.share.Away {
+			s.zones = append(s.zones, d.zoneHealthOf(part.Zone))
+		}
+	}
+}
+
+// goals returns the time within which callers of each service want an answer: the least of
+// its routes.
+func (d *Director) goals() map[string]time.Duration {
+	goals := make(map[string]time.Duration)
+	for _, r := range d.routes {
+		for _, b := range r.Backends {
+			if goal := goals[b.Service]; r.Goal > 0 && (goal == 0 || r.Goal < goal) {
+				goals[b.Service] = r.Goal
+			}
+		}
+	}
+	return goals
+}
+
+// zoneLoads returns the load of a service in the zones that its flows may go to: those of the
+// own region, or all if that has no target that accepts new flows and isn't suspect.
+func (d *Director) zoneLoads(now time.Time, service string, p *pool) []spreader.Zone {
+	inRegion := slices.ContainsFunc(p.members, func(m *member) bool {
+		return d.sameRegion(m.AvailabilityZone) && d.acceptsNewFlows(m) && !m.isSuspect(now)
+	})
+	loads := map[string]*spreader.Zone{d.zone: {Name: d.zone}}
+	loadOf := func(zone string) *spreader.Zone {
+		if inRegion && !d.sameRegion(zone) {
+			return nil
+		}
+		if loads[zone] == nil {
+			loads[zone] = &spreader.Zone{Name: zone}
+		}
+		return loads[zone]
+	}
+	for zone, summary := range d.picture.Zones {
+		z := loadOf(zone)
+		if z == nil {
+			continue
+		}
+		z.Reported, z.Distance = true, summary.Distance
+		for class, demand := range summary.Demand {
+			if class.Service == service {
+				z.Requests += demand.Requests
+				z.Answered += demand.Answered
+				z.Concurrency += demand.Concurrency
+			}
+		}
+	}
+	for _, m := range p.members {
+		if z := loadOf(m.AvailabilityZone); z != nil && d.isReadyIn(now, m, m.zone) {
+			z.Slots += m.weight()
+			z.Targets++
+		}
+	}
+	all := make([]spreader.Zone, 0, len(loads))
+	for _, z := range loads {
+		all = append(all, *z)
+	}
+	slices.SortFunc(all, func(a, b spreader.Zone) int { return cmp.Compare(a.Name, b.Name) })
+	return all
+}
+
+// sameRegion reports whether a zone is in the region of the own zone.
+func (d *Director) sameRegion(zone string) bool { return d.regions[zone] == d.regions[d.zone] }
--- a/director/view.go
+++ b/director/view.go
@@ -80,6 +80,7 @@
 type pool struct {
 	members []*member
 	demand  demand
+	spread  spread
 }
 
 func (p *pool) remove(m *member) {
--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -89,6 +89,24 @@
 	// CrowdedServices are the services some of whose flows go to other zones, because the
 	// targets in the balancer's zone lack the capacity for all callers of the zone.
 	CrowdedServices []string `json:"crowded-services"`
+	// Spreads are the load of each service in each availability zone, and the part of the
+	// balancer's new flows that goes there.
+	Spreads []Spread `json:"spreads,omitempty"`
+}
+
+// Spread is the load of a service in one availability zone. All numbers are as of a second
+// ago.
+type Spread struct {
+	Service          string `json:"service"`
+	AvailabilityZone string `json:"availability-zone"`
+	// Demand is how many slots the callers of the zone need, nil if it isn't known. A slot
+	// is a target's capacity for one request at a time. Slots is how many are ready for new
+	// flows.
+	Demand *float64 `json:"demand,omitempty"`
+	Slots  float64  `json:"slots"`
+	// Part is the part, from 0 to 1, of the new flows of the balancer's zone that goes to
+	// this zone. It is nil if there is no plan.
+	Part *float64 `json:"part,omitempty"`
 }
 
 // Explanation describes what a balancer would do with the packets of one flow.
@@ -114,6 +132,9 @@
 	// a later packet.
 	Opening     Outcome `json:"opening"`
 	Established Outcome `json:"established"`
+	// Zone says in which availability zone the flow belongs when it is opened. It is empty
+	// on balancers that don't decide by zones.
+	Zone string `json:"zone,omitempty"`
 }
 
 // Outcome is what a balancer would do with one packet.
--- a/spreader/spreader.go
+++ b/spreader/spreader.go
@@ -87,6 +87,19 @@
 	return -1
 }
 
+// Part returns the part of the own zone's new flows that goes to a zone, from 0 to 1.
+func (s *Share) Part(own, zone string) float64 {
+	if zone == own {
+		return s.Home()
+	}
+	for _, p := range s.Away {
+		if p.Zone == zone {
+			return p.Part
+		}
+	}
+	return 0
+}
+
 const (
 	// minAnswered is the rate of answers, per second, from which on a zone's mean time is
 	// used. The mean of 20 times is off by a fifth if they are distributed exponentially.
@@ -129,6 +142,12 @@
 	neededAt time.Time
 }
 
+// ServiceTime returns the estimate of how long a target works on a request, 0 if it isn't
+// known.
+func (p *Planner) ServiceTime() time.Duration {
+	return time.Duration(p.time * float64(time.Second))
+}
+
 // Update returns the decision for the load. It must be called about once a second.
 func (p *Planner) Update(now time.Time, l Load) Share {
 	first := p.updatedAt.IsZero()
