--- a/spreader/plan.go
+++ b/spreader/plan.go
@@ -15,8 +15,8 @@
 	MaxLocalUse = 0.5
 	// defaultGoal is the time within which callers want an answer if they don't say.
 	defaultGoal = 250 * time.Millisecond
-	// priceDivisor is the part of the goal that a request may wait at home before the bytes
-	// between zones are worth it. Callers don't notice a twentieth of their goal.
+	// priceDivisor is the part of the goal that a request may wait longer at home before the
+	// bytes between zones are worth it. Callers don't notice a twentieth of their goal.
 	priceDivisor = 20
 	// levelIterations halve the range of the level to less than a billionth.
 	levelIterations = 32
@@ -48,7 +48,7 @@
 		loads[own].demand = 1
 	}
 	level := balance(loads, own, service, price)
-	sent := sending(loads[own], max(level, price), service)
+	sent := sending(loads[own], level+price, service)
 	if empty {
 		level = max(level, farthest(loads)+price)
 	}
@@ -126,8 +126,7 @@
 }
 
 // balance returns the wait, in seconds, up to which zones take the flows of others, such that
-// they have as much room as the zones send whose requests would wait longer than that and
-// than the price.
+// they have as much room as the zones with a longer wait send.
 func balance(loads []load, own int, service, price float64) float64 {
 	excess := func(level float64) float64 {
 		sum := 0.0
@@ -135,7 +134,7 @@
 			if i == own {
 				l.distance = 0
 			}
-			sum += sending(l, max(level, price), service) - l.receiving(level, service)
+			sum += sending(l, level+price, service) - l.receiving(level, service)
 		}
 		return sum
 	}
