spreader: keep the last report of a zone for some seconds

Change: the last report counts for 4 s, then a zone counts as used like the least used of the others.

--- a/director/spread.go
+++ b/director/spread.go
@@ -10,8 +10,8 @@
 )
 
 // maxPictureAge is the time after which a picture that hasn't been replaced isn't used for
-// plans. Summaries are about a second old when they arrive, and a picture comes each second.
-const maxPictureAge = 5 * time.Second
+// plans. A picture comes each second, and a planner knows its zones for some seconds more.
+const maxPictureAge = 2 * time.Second
 
 // spread is the plan for the new flows of one service (package spreader).
 type spread struct {
@@ -27,9 +27,6 @@
 
 // updateSpreads plans for each service which of its new flows leave the own zone.
 func (d *Director) updateSpreads(now time.Time) {
-	if now.Sub(d.pictureAt) > maxPictureAge {
-		d.picture = aggregator.Picture{}
-	}
 	goals := d.goals()
 	for service, p := range d.pools {
 		s := &p.spread
@@ -72,7 +69,11 @@
 		}
 		return loads[zone]
 	}
-	for zone, summary := range d.picture.Zones {
+	var picture aggregator.Picture
+	if now.Sub(d.pictureAt) <= maxPictureAge {
+		picture = d.picture
+	}
+	for zone, summary := range picture.Zones {
 		z := loadOf(zone)
 		if z == nil {
 			continue
--- a/director/spread_test.go
+++ b/director/spread_test.go
@@ -109,14 +109,20 @@
 	is.True(parts["a"]+parts["b"] > 0.999)
 }
 
-// A picture that isn't renewed is dropped, and the own demand decides.
+// A picture that isn't renewed is used for a few seconds, and the own demand decides then.
 func TestPictureThatIsTooOld(t *testing.T) {
 	is := is.New(t)
 	d := newDirectorWithZones()
 	now := applyPicture(d, start, 6, picture(15, 3, 3))
+	for range 3 {
+		now = now.Add(time.Second)
+		d.Tick(now)
+	}
 	is.True(openingParts(d, now, 0)["a"] < 0.8)
-	now = now.Add(6 * time.Second)
-	d.Tick(now)
+	for range 5 {
+		now = now.Add(time.Second)
+		d.Tick(now)
+	}
 	is.True(openingParts(d, now, 5000)["a"] > 0.999) // no demand was measured here
 }
 
--- a/spreader/plan.go
+++ b/spreader/plan.go
@@ -77,15 +77,18 @@
 	return parts
 }
 
-// loadsOf returns the loads of the zones. A zone without a report counts as used to
-// MaxLocalUse, and the way to a zone at an unknown distance as long as the longest.
+// loadsOf returns the loads of the zones. A zone without a report counts as used like the
+// least used other zone, and to MaxLocalUse at least. The way to a zone at an unknown distance as long as the longest.
 func loadsOf(zones []Zone, service float64) []load {
 	loads := make([]load, len(zones))
 	longest := time.Duration(0)
-	all := 0.0
+	all, use := 0.0, 1.0
 	for _, z := range zones {
 		longest = max(longest, z.Distance)
 		all += z.Slots
+		if z.Reported && z.Slots > 0 {
+			use = min(use, z.Requests*service/z.Slots)
+		}
 	}
 	for i, z := range zones {
 		loads[i] = load{
@@ -95,7 +98,7 @@
 			distance:  cmp.Or(z.Distance, longest).Seconds(),
 		}
 		if !z.Reported {
-			loads[i].demand = MaxLocalUse * z.Slots
+			loads[i].demand = max(use, MaxLocalUse) * z.Slots
 		}
 	}
 	return loads
--- a/spreader/spreader.go
+++ b/spreader/spreader.go
@@ -20,6 +20,8 @@
 package spreader
 
 import (
+	"cmp"
+	"maps"
 	"math"
 	"time"
 )
@@ -121,6 +123,9 @@
 	// endAfter is how long no flow needs to leave before none does. It keeps a zone at the
 	// edge of its room from beginning and ending to send flows away each second.
 	endAfter = 5 * time.Second
+	// reportTTL is how long the last report of a zone is used that is missing since. Each
+	// second without one would otherwise count as a change of the zone's demand.
+	reportTTL = 4 * time.Second
 	// maxElapsed bounds the time that a step is computed for.
 	maxElapsed = 2 * time.Second
 )
@@ -140,6 +145,13 @@
 	away []Part
 	// neededAt is when the plan last let flows leave.
 	neededAt time.Time
+	// reports holds the last report of each zone, and when it was the current one.
+	reports map[string]report
+}
+
+type report struct {
+	zone Zone
+	at   time.Time
 }
 
 // ServiceTime returns the estimate of how long a target works on a request, 0 if it isn't
@@ -157,6 +169,7 @@
 	}
 	p.updatedAt = now
 	zones, own := sanitize(l)
+	p.recall(now, zones)
 	p.estimateTime(elapsed, zones)
 	if own < 0 || !zones[own].Reported || p.time == 0 {
 		p.part = 0
@@ -174,6 +187,23 @@
 	return Share{Known: true, Away: scale(p.away, p.part)}
 }
 
+// recall completes the zones without a report by their last one, if that isn't too old.
+func (p *Planner) recall(now time.Time, zones []Zone) {
+	if p.reports == nil {
+		p.reports = make(map[string]report)
+	}
+	maps.DeleteFunc(p.reports, func(_ string, r report) bool { return now.Sub(r.at) > reportTTL })
+	for i := range zones {
+		z := &zones[i]
+		if z.Reported {
+			p.reports[z.Name] = report{zone: *z, at: now}
+		} else if last, known := p.reports[z.Name]; known {
+			z.Reported, z.Requests, z.Answered, z.Concurrency = true, last.zone.Requests, last.zone.Answered, last.zone.Concurrency
+			z.Distance = cmp.Or(z.Distance, last.zone.Distance)
+		}
+	}
+}
+
 // approach moves the part that leaves towards the planned one.
 func (p *Planner) approach(now time.Time, wanted, elapsed float64, atOnce bool) {
 	over := now.Sub(p.neededAt) >= endAfter
--- a/spreader/spreader_test.go
+++ b/spreader/spreader_test.go
@@ -347,6 +347,18 @@
 		is.True(parts["c"] > 0)
 		is.True(parts["c"] < known["c"]-0.02)
 	})
+	t.Run("for some seconds", func(t *testing.T) {
+		is := is.New(t)
+		var f fleet
+		usual := []spreader.Zone{zone("a", 45, 20), zone("b", 45, 20), zone("c", 45, 20)}
+		is.Equal(f.update(settleTime, usual...)["a"]["a"], 1.0)
+		is.Equal(f.update(4, usual[0], missing(usual[1]), missing(usual[2]))["a"]["a"], 1.0)
+		is.Equal(f.update(4, missing(usual[0]), usual[1], usual[2])["a"]["a"], 1.0)
+		is.Equal(f.update(9, usual[0], missing(usual[1]), missing(usual[2]))["a"]["a"], 1.0)
+		before := f.update(settleTime, full, b, c)["a"]["a"]
+		is.True(before < 1)
+		is.Equal(f.update(3, missing(full), b, c)["a"]["a"], before)
+	})
 	t.Run("a demand beyond measure", func(t *testing.T) {
 		is := is.New(t)
 		liar := c
