--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -220,6 +220,7 @@
 			b.director.SetFleet(now, b.view.fleet)
 			b.director.Tick(now)
 			b.reportSpreads(now)
+			b.logSpeeds(b.director.TakeSpeedChanges())
 			checks := b.director.TakeChecks()
 			b.mu.Unlock()
 			b.enqueueChecks(checks)
--- a/balancer/explain.go
+++ b/balancer/explain.go
@@ -56,6 +56,7 @@
 			ZonesOut:           health.ZonesOut,
 			CrowdedServices:    health.CrowdedServices,
 			Spreads:            explainSpreads(b.director.Spreads()),
+			SlowTargets:        health.SlowTargets,
 		},
 	}
 	for name := range b.view.peers {
@@ -83,6 +84,7 @@
 		Service:        e.Service,
 		NoBuckets:      true,
 		Recorded:       e.Tracked,
+		Speed:          speedIfSlow(e.Speed),
 		Opening:        outcome(e.Opening),
 		Established:    outcome(e.Established),
 		Zone:           explainPlacement(e.Placement),
--- a/cmd_explain.go
+++ b/cmd_explain.go
@@ -65,6 +65,9 @@
 		fmt.Fprintf(&b, "zone         %s\n", e.Zone)
 	}
 	fmt.Fprintf(&b, "opening      %s\n", outcomeText(e.Opening))
+	if e.Speed > 0 && e.Speed < 1 {
+		fmt.Fprintf(&b, "speed        %.2f, new flows are fewer by this factor\n", e.Speed)
+	}
 	fmt.Fprintf(&b, "established  %s\n", outcomeText(e.Established))
 	return b.String()
 }
--- a/director/director.go
+++ b/director/director.go
@@ -152,6 +152,10 @@
 	picture aggregator.Picture
 	// pictureAt is when it was set.
 	pictureAt time.Time
+	// speedsAt is when the speeds of targets were set. speedChanges holds the changes that
+	// the next call of TakeSpeedChanges returns.
+	speedsAt     time.Time
+	speedChanges []SpeedChange
 	// pendingChecks is the number of requested checks that have no verdict yet.
 	pendingChecks int
 }
@@ -386,10 +390,12 @@
 	return m, ok && !d.removed.has(m)
 }
 
-// Tick removes expired flows and targets, ends demand windows that are over, requests checks
-// that are due and plans which new flows leave the own zone. It must be called about once a second.
+// Tick removes expired flows, targets and speeds, ends demand windows that are over, requests
+// checks that are due and plans which new flows leave the own zone. It must be called about
+// once a second.
 func (d *Director) Tick(now time.Time) {
 	d.flows.expire(now)
+	d.expireSpeeds(now)
 	for _, p := range d.pools {
 		p.demand.rollWindow(now)
 	}
--- a/director/load.go
+++ b/director/load.go
@@ -11,4 +11,5 @@
 // observes itself.
 func (d *Director) SetPicture(now time.Time, p aggregator.Picture) {
 	d.picture, d.pictureAt = p, now
+	d.applySpeeds(now)
 }
