--- a/balancer/metrics.go
+++ b/balancer/metrics.go
@@ -142,6 +142,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`trefoilspring_target_checks_total{verdict=%q}`, v.String())).Inc()
 }
 
+// setAwayPart sets the part of a service's new flows that leaves the availability zone.
+func (m *metricSet) setAwayPart(service string, part float64) {
+	m.set.GetOrCreateGauge(fmt.Sprintf(`trefoilspring_away_part{service=%q}`, service), nil).Set(part)
+}
+
 // countBadPacket counts a datagram that was dropped because it could not be parsed.
 // Balancer.mu must be held.
 func (m *metricSet) countBadPacket(reason string) {
--- a/balancer/spread.go
+++ b/balancer/spread.go
@@ -25,7 +25,7 @@
 		b.log.Info("service sends new flows to other zones", "service", c.Service, "part", sum, "parts-by-zone", parts)
 	}
 	for service, part := range b.director.AwayParts(now) {
-		b.metrics.set.GetOrCreateGauge(fmt.Sprintf(`trefoilspring_away_part{service=%q}`, service), nil).Set(part)
+		b.metrics.setAwayPart(service, part)
 	}
 }
 
