--- a/spreader/spreader_test.go
+++ b/spreader/spreader_test.go
@@ -274,13 +274,14 @@
 	rapid.Check(t, func(t *rapid.T) {
 		mean := rapid.Float64Range(20, 70).Draw(t, "demand")
 		noise := rapid.Float64Range(0.97, 1.03)
-		var f fleet
+		var planner spreader.Planner
 		const seconds = 30
 		before, begun, changed := 0.0, 0, 0
 		for n := range seconds {
-			away := 1 - f.update(1,
+			share := planner.Update(start.Add(time.Duration(n)*time.Second), spreader.Load{Own: "a", Goal: goal, Zones: []spreader.Zone{
 				zone("a", mean*noise.Draw(t, "a"), 20), zone("b", 12*noise.Draw(t, "b"), 20), zone("c", 12*noise.Draw(t, "c"), 20),
-			)["a"]["a"]
+			}})
+			away := 1 - share.Home()
 			if n >= settleTime && math.Abs(away-before) > 1e-9 {
 				changed++
 			}
