--- a/balancer/explain.go
+++ b/balancer/explain.go
@@ -57,6 +57,7 @@
 			CrowdedServices:    health.CrowdedServices,
 			Spreads:            explainSpreads(b.director.Spreads()),
 			SlowTargets:        health.SlowTargets,
+			LimitedServices:    health.LimitedServices,
 		},
 	}
 	for name := range b.view.peers {
@@ -88,6 +89,18 @@
 		Opening:        outcome(e.Opening),
 		Established:    outcome(e.Established),
 		Zone:           explainPlacement(e.Placement),
+		Admission:      admission(e.Admission),
+	}
+}
+
+// admission converts the admission of a flow to the one that is reported.
+func admission(a director.Admission) *explainer.Admission {
+	if !a.Known {
+		return nil
+	}
+	return &explainer.Admission{
+		Urgency: a.Urgency, Limited: a.Limited, Fraction: a.Fraction,
+		Waiting: a.Waiting, Bound: a.Bound, Wanted: a.Wanted, Room: a.Room,
 	}
 }
 
@@ -117,4 +130,5 @@
 	director.ReasonNoToken:           "no target accepts the flow, so its packets have no token to carry",
 	director.ReasonUnknownToken:      "no target has the token",
 	director.ReasonNoView:            "there is no configuration yet",
+	director.ReasonTurnedAway:        "callers ask for more than the targets of the service can do, and this flow isn't among those of its urgency that there is room for; it reached no target",
 }
--- a/director/flows.go
+++ b/director/flows.go
@@ -35,6 +35,8 @@
 	// openingSeen is true, that is if the first copy of the packet arrived here.
 	openingSequence uint32
 	openingSeen     bool
+	// turnedAway reports whether the opening packet was answered with a reset for lack of room.
+	turnedAway bool
 	// pinned is the token of the flow's first packet that carried one, or 0 before that
 	// packet. It names the target whose answer opened the flow.
 	pinned tokenizer.Token
@@ -82,6 +84,9 @@
 	retransmission bool
 	// requestBegan reports whether a request begins with the packet.
 	requestBegan bool
+	// answered reports whether the packet acknowledges the first part of the answer to a
+	// request.
+	answered bool
 	// requestTime is how long the target took to answer a request. It is 0 unless the
 	// packet acknowledges the answer and carries no data. A packet with data may come much
 	// later than the answer, since a caller may acknowledge the answer only with its next
@@ -97,7 +102,8 @@
 	var seen observation
 	if f.acknowledged == 0 || int32(p.Acknowledged-f.acknowledged) > 0 {
 		seen.progress = true
-		if len(p.Data) == 0 && !f.waitingSince.IsZero() {
+		seen.answered = !f.waitingSince.IsZero()
+		if len(p.Data) == 0 && seen.answered {
 			seen.requestTime = now.Sub(f.waitingSince)
 		}
 		f.acknowledged = p.Acknowledged
--- a/director/spread.go
+++ b/director/spread.go
@@ -9,10 +9,6 @@
 	"trefoilspring.example/trefoilspring/spreader"
 )
 
-// maxPictureAge is the time after which a picture that hasn't been replaced isn't used for
-// plans. A picture comes each second, and a planner knows its zones for some seconds more.
-const maxPictureAge = 2 * time.Second
-
 // spread is the plan for the new flows of one service (package spreader).
 type spread struct {
 	planner spreader.Planner
@@ -27,10 +23,9 @@
 
 // updateSpreads plans for each service which of its new flows leave the own zone.
 func (d *Director) updateSpreads(now time.Time) {
-	goals := d.goals()
 	for service, p := range d.pools {
 		s := &p.spread
-		s.load = spreader.Load{Own: d.zone, Goal: goals[service], Zones: d.zoneLoads(now, service, p)}
+		s.load = spreader.Load{Own: d.zone, Goal: d.goals[service], Path: p.path, Zones: d.zoneLoads(now, service, p)}
 		s.share = s.planner.Update(now, s.load)
 		s.zones = s.zones[:0]
 		for _, part := range s.share.Away {
@@ -39,20 +34,6 @@
 	}
 }
 
-// goals returns the time within which callers of each service want an answer: the least of
-// its routes.
-func (d *Director) goals() map[string]time.Duration {
-	goals := make(map[string]time.Duration)
-	for _, r := range d.routes {
-		for _, b := range r.Backends {
-			if goal := goals[b.Service]; r.Goal > 0 && (goal == 0 || r.Goal < goal) {
-				goals[b.Service] = r.Goal
-			}
-		}
-	}
-	return goals
-}
-
 // zoneLoads returns the load of a service in the zones that its flows may go to: those of the
 // own region, or all if that has no target that accepts new flows and isn't suspect.
 func (d *Director) zoneLoads(now time.Time, service string, p *pool) []spreader.Zone {
@@ -70,7 +51,7 @@
 		return loads[zone]
 	}
 	var picture aggregator.Picture
-	if now.Sub(d.pictureAt) <= maxPictureAge {
+	if now.Sub(d.load.pictureAt) <= maxPictureAge {
 		picture = d.picture
 	}
 	for zone, summary := range picture.Zones {
--- a/spreader/spreader.go
+++ b/spreader/spreader.go
@@ -49,7 +49,10 @@
 	// Own is the name of the own zone.
 	Own string
 	// Goal is the time within which callers want an answer, 0 if they don't say.
-	Goal  time.Duration
+	Goal time.Duration
+	// Path is the mean time that packets travel for a request, which is part of the time that
+	// requests wait for their answers. It is 0 if it isn't known.
+	Path  time.Duration
 	Zones []Zone
 }
 
@@ -170,7 +173,7 @@
 	p.updatedAt = now
 	zones, own := sanitize(l)
 	p.recall(now, zones)
-	p.estimateTime(elapsed, zones)
+	p.estimateTime(elapsed, l.Path, zones)
 	if own < 0 || !zones[own].Reported || p.time == 0 {
 		p.part = 0
 		return Share{}
--- a/spreader/spreader_test.go
+++ b/spreader/spreader_test.go
@@ -309,6 +309,16 @@
 	is.True(f.update(2, zones...)["a"]["a"] > 0.9)
 }
 
+// Load pattern: a target works for 50 ms on a request, and its packets travel for as long.
+func TestPathIsNotWork(t *testing.T) {
+	is := is.New(t)
+	var planner spreader.Planner
+	a := zone("a", 27, 20)
+	a.Concurrency *= 2
+	planner.Update(start, spreader.Load{Own: "a", Path: 50 * time.Millisecond, Zones: []spreader.Zone{a}})
+	is.Equal(planner.ServiceTime().Round(time.Millisecond), 50*time.Millisecond)
+}
+
 // Load pattern: demand falls in one zone. Each second at most a quarter of the flows changes.
 func TestChangesAreBounded(t *testing.T) {
 	is := is.New(t)
--- a/spreader/wait.go
+++ b/spreader/wait.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"slices"
+	"time"
 )
 
 const (
@@ -16,6 +17,9 @@
 	useIterations = 20
 	// maxUseBound bounds the use of slots, also along the tangent.
 	maxUseBound = 1000
+	// minWorkPart is the least part of a request's time that counts as a target's work,
+	// however long the path is.
+	minWorkPart = 0.1
 )
 
 // wait returns how long a request waits for one of a target's slots at a use of the slots
@@ -51,7 +55,7 @@
 // estimateTime updates the time that a target works on a request by what the zones report.
 // The second smallest of their times is used: one zone that reports too short a time doesn't
 // move the estimate, and neither do zones whose requests wait.
-func (p *Planner) estimateTime(elapsed float64, zones []Zone) {
+func (p *Planner) estimateTime(elapsed float64, path time.Duration, zones []Zone) {
 	var times []float64
 	for _, z := range zones {
 		if z.Reported && z.Answered >= minAnswered && z.Concurrency > 0 {
@@ -66,6 +70,7 @@
 	if len(times) > 2 {
 		sample = times[1]
 	}
+	sample = max(sample-path.Seconds(), sample*minWorkPart)
 	switch {
 	case p.time == 0:
 		p.time = sample
