--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -223,6 +223,7 @@
 			b.view.pulse.beat(b.ViewClock())
 			b.director.SetFleet(now, b.view.fleet)
 			b.director.Tick(now)
+			b.reportSpreads(now)
 			b.logSpeeds(b.director.TakeSpeedChanges())
 			b.logAdmission()
 			checks := b.director.TakeChecks()
--- a/balancer/explain.go
+++ b/balancer/explain.go
@@ -55,6 +55,7 @@
 			SuspectZones:       health.SuspectZones,
 			ZonesOut:           health.ZonesOut,
 			CrowdedServices:    health.CrowdedServices,
+			Spreads:            explainSpreads(b.director.Spreads()),
 			SlowTargets:        health.SlowTargets,
 			LimitedServices:    health.LimitedServices,
 		},
@@ -87,6 +88,7 @@
 		Speed:          speedIfSlow(e.Speed),
 		Opening:        outcome(e.Opening),
 		Established:    outcome(e.Established),
+		Zone:           explainPlacement(e.Placement),
 		Admission:      admission(e.Admission),
 	}
 }
--- a/cmd_explain.go
+++ b/cmd_explain.go
@@ -61,6 +61,9 @@
 	if e.Tracked {
 		fmt.Fprintf(&b, "tracked      base target %s, current target %s, resolver %s\n", e.BaseTarget, e.CurrentTarget, e.Resolver)
 	}
+	if e.Zone != "" {
+		fmt.Fprintf(&b, "zone         %s\n", e.Zone)
+	}
 	if a := e.Admission; a != nil {
 		fmt.Fprintf(&b, "admission    urgency %d, %.0f%% of new flows admitted; %.1f requests wait (bound %.1f), this urgency wants %.1f of room for %.1f\n",
 			a.Urgency, 100*a.Fraction, a.Waiting, a.Bound, a.Wanted, a.Room)
--- a/director/director.go
+++ b/director/director.go
@@ -108,8 +108,9 @@
 // Director makes the decisions of one balancer and holds the state that they depend on.
 type Director struct {
 	seed uint64
-	// zone is the balancer's own availability zone.
-	zone string
+	// zone is the balancer's own availability zone, and ownZone its health.
+	zone    string
+	ownZone *zoneHealth
 	// configured reports whether a configuration is in force, and version is its version.
 	configured bool
 	routes     map[netip.AddrPort]Route
@@ -169,7 +170,7 @@
 // zone. The seed differs between balancers, so that they don't all send the first flows
 // to a cold target at the same moment or check the same targets of a zone.
 func New(seed uint64, zone string) *Director {
-	return &Director{
+	d := &Director{
 		seed:          seed,
 		zone:          zone,
 		routes:        make(map[netip.AddrPort]Route),
@@ -186,6 +187,8 @@
 		balancers:     1,
 		zoneBalancers: 1,
 	}
+	d.ownZone = d.zoneHealthOf(zone)
+	return d
 }
 
 // Decide returns the decision on a packet.
@@ -405,8 +408,8 @@
 }
 
 // Tick removes expired flows, targets and speeds, ends demand windows that are over, decides
-// what part of new flows is admitted, and requests checks that are due. It must be called about
-// once a second.
+// what part of new flows is admitted, plans which of them leave the own zone, and requests
+// checks that are due. It must be called about once a second.
 func (d *Director) Tick(now time.Time) {
 	d.flows.expire(now)
 	d.expireSpeeds(now)
@@ -420,4 +423,5 @@
 	d.absentRoutes.expire(now)
 	d.absentTargets.expire(now)
 	d.tokens.Expire(now)
+	d.updateSpreads(now)
 }
--- a/director/explain.go
+++ b/director/explain.go
@@ -22,6 +22,8 @@
 	// pinned to or else the token of Opening.
 	Opening     Decision
 	Established Decision
+	// Placement says in which zone a new flow of this caller's address and port belongs.
+	Placement Placement
 	// Speed is the speed of the target of Opening; see aggregator.Summary. It is 0 if there
 	// is no target.
 	Speed float64
@@ -42,6 +44,7 @@
 	if routed {
 		e.Route, e.Service = route.Name, pickService(key, route.Backends)
 		e.Opening = d.explainOpening(now, key, f, e.Service)
+		e.Placement = d.explainPlacement(now, key, e.Service)
 		var admitted bool
 		class := classOf(key, route)
 		e.Admission, admitted = d.explainAdmission(now, key, p, class)
--- a/director/view.go
+++ b/director/view.go
@@ -86,6 +86,7 @@
 type pool struct {
 	members []*member
 	demand  demand
+	spread  spread
 	// path is the mean time that packets travel between this balancer, a target and the
 	// caller, or 0 if it isn't known.
 	path time.Duration
