replicator: order updates by the store's era, then by revision

The store may come back from an older copy and give out revisions again. A replica took the higher revision for the newer one: it ignored what was written until the numbers passed the old ones, hid keys behind removals remembered from before, and took what the copy lacked for removed.

A full update of a newer era now replaces the content; what it lacks is retained until it has had its time to be written again. An update of an earlier era is ignored.

A late listing of the same era that is older than the content can restore a removed key that the replica never held.

--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -5,6 +5,11 @@
 // key the highest revision wins, in whatever order and from whichever source
 // updates arrive. A replica therefore never reverts to an older value.
 //
+// The store may come back from an older copy and give out revisions again. Its era rises
+// then. An update of an earlier era than the replica's is ignored, and a full update of a
+// newer era replaces the content. For a while, Merge does not report what the older copy
+// lacks as removed: it may be written again (see RewriteGrace).
+//
 // # Usage
 //
 //	var r replicator.Replica
@@ -92,32 +97,66 @@
 	Full bool
 	// Age is the time since the store last confirmed the update to its source.
 	Age time.Duration
+	// Era is the store's era, or 0 if the source doesn't know it. Peers exchange it and
+	// EraAge outside the encoded update, because earlier releases decode only the fields above.
+	Era uint64 `cbor:"-"`
+	// EraAge is the time since the source learned of the era; it is at most the time since
+	// the era began.
+	EraAge time.Duration `cbor:"-"`
 }
 
 // Replica is a local copy of keys of the store. The zero value is an empty replica
 // at revision 0.
 type Replica struct {
 	items map[string]Item
-	// removals maps removed keys to the revisions of their removals.
-	removals map[string]uint64
+	// removals holds the removals of keys.
+	removals map[string]removal
 	revision uint64
 	// removalsFrom is a revision: every removal after it is in removals.
 	removalsFrom uint64
 	// confirmedAt is when the store last confirmed the replica's content.
 	confirmedAt time.Time
+	era         eraState
+}
+
+// removal is the removal of a key.
+type removal struct {
+	// revision is that of the removal, and last the item before it, if it was known.
+	revision uint64
+	last     Item
 }
 
 // Merge applies the items of the update that are newer than the replica's, and
 // returns them in order of revision. A key that is missing from a full update is
-// returned as removed.
+// returned as removed, but not during the grace of a new era (see RewriteGrace).
 func (r *Replica) Merge(u Update, now time.Time) []Item {
 	if r.items == nil {
 		r.items = make(map[string]Item)
-		r.removals = make(map[string]uint64)
+		r.removals = make(map[string]removal)
+	}
+	if !r.admit(u) {
+		return nil
 	}
+	var changed []Item
+	if era := r.eraOf(u); era > r.era.number {
+		changed = r.beginEra(u, era, now)
+	} else {
+		changed = r.mergeUpdate(u)
+	}
+	if confirmedAt := now.Add(-u.Age); confirmedAt.After(r.confirmedAt) {
+		r.confirmedAt = confirmedAt
+	}
+	changed = append(changed, r.endGrace()...)
+	slices.SortStableFunc(changed, func(a, b Item) int { return cmp.Compare(a.Revision, b.Revision) })
+	return changed
+}
+
+// mergeUpdate merges an update of the replica's era, and returns the changes.
+func (r *Replica) mergeUpdate(u Update) []Item {
 	var changed []Item
 	for _, item := range u.Items {
-		if r.mergeItem(item) {
+		hidden := r.era.hidden[item.Key]
+		if r.mergeItem(item) && !(hidden && item.Removed) {
 			changed = append(changed, item)
 		}
 	}
@@ -129,43 +168,42 @@
 		r.removalsFrom = u.Revision
 	}
 	r.revision = max(r.revision, u.Revision)
-	if confirmedAt := now.Add(-u.Age); confirmedAt.After(r.confirmedAt) {
-		r.confirmedAt = confirmedAt
-	}
-	slices.SortStableFunc(changed, func(a, b Item) int { return cmp.Compare(a.Revision, b.Revision) })
 	return changed
 }
 
 // mergeItem applies the item if it is newer than the replica's state of the key, and
 // reports whether it did.
 func (r *Replica) mergeItem(item Item) bool {
-	if item.Revision <= r.items[item.Key].Revision || item.Revision <= r.removals[item.Key] {
+	if item.Revision <= r.items[item.Key].Revision || item.Revision <= r.removals[item.Key].revision {
 		return false
 	}
+	delete(r.era.retained, item.Key)
+	delete(r.era.hidden, item.Key)
 	if !item.Removed {
 		delete(r.removals, item.Key)
 		r.items[item.Key] = item
 		return true
 	}
+	last := r.items[item.Key]
 	delete(r.items, item.Key)
-	r.recordRemoval(item.Key, item.Revision)
+	r.recordRemoval(item.Key, removal{revision: item.Revision, last: last})
 	return true
 }
 
-// recordRemoval remembers that a key was removed at a revision. Beyond maxRemovals it
-// forgets the removal with the lowest revision.
-func (r *Replica) recordRemoval(key string, revision uint64) {
-	r.removals[key] = revision
+// recordRemoval remembers that a key was removed. Beyond maxRemovals it forgets the
+// removal with the lowest revision.
+func (r *Replica) recordRemoval(key string, rem removal) {
+	r.removals[key] = rem
 	if len(r.removals) <= maxRemovals {
 		return
 	}
 	oldest := key
-	for k, rev := range r.removals {
-		if rev < r.removals[oldest] {
+	for k, other := range r.removals {
+		if other.revision < r.removals[oldest].revision {
 			oldest = k
 		}
 	}
-	r.removalsFrom = max(r.removalsFrom, r.removals[oldest])
+	r.removalsFrom = max(r.removalsFrom, r.removals[oldest].revision)
 	delete(r.removals, oldest)
 }
 
@@ -182,9 +220,12 @@
 		if present[key] || item.Revision > u.Revision {
 			continue
 		}
-		removed = append(removed, Item{Key: key, Revision: u.Revision, Removed: true})
+		if !r.era.hidden[key] {
+			removed = append(removed, Item{Key: key, Revision: u.Revision, Removed: true})
+		}
+		delete(r.era.hidden, key)
 		delete(r.items, key)
-		r.recordRemoval(key, u.Revision)
+		r.recordRemoval(key, removal{revision: u.Revision, last: item})
 	}
 	return removed
 }
@@ -194,6 +235,7 @@
 func (r *Replica) Since(after uint64, now time.Time) Update {
 	u := Update{Revision: r.revision, Full: after == 0 || after < r.removalsFrom}
 	u.Age, _ = r.Age(now)
+	u.Era, u.EraAge = r.era.number, r.eraAge(now)
 	for _, item := range r.items {
 		if u.Full || item.Revision > after {
 			u.Items = append(u.Items, item)
@@ -202,9 +244,9 @@
 	if u.Full {
 		return u
 	}
-	for key, revision := range r.removals {
-		if revision > after {
-			u.Items = append(u.Items, Item{Key: key, Revision: revision, Removed: true})
+	for key, rem := range r.removals {
+		if rem.revision > after {
+			u.Items = append(u.Items, Item{Key: key, Revision: rem.revision, Removed: true})
 		}
 	}
 	return u
@@ -221,8 +263,8 @@
 			return true
 		}
 	}
-	for _, revision := range r.removals {
-		if revision > after {
+	for _, rem := range r.removals {
+		if rem.revision > after {
 			return true
 		}
 	}
@@ -241,7 +283,7 @@
 	}
 }
 
-// Find returns the item of a key, and whether the key exists in the replica.
+// Find returns the item of a key, and whether the store has the key in the current era.
 func (r *Replica) Find(key string) (Item, bool) {
 	item, ok := r.items[key]
 	return item, ok
