balancer, director, platform: keep what an older copy of the store lacks

A store that comes back from an older copy lacks what was written last. A balancer took that for removed, reset openings and flows for it, and didn't register again before its next renewal found the lease gone.

A run of a target that was seen draining stays so, and an older configuration is logged as ignored.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -235,7 +235,7 @@
 	f.Revision = func() uint64 {
 		b.mu.Lock()
 		defer b.mu.Unlock()
-		return b.view.replica.Revision()
+		return b.view.replica.After()
 	}
 	f.Log = b.log
 	return f
@@ -259,17 +259,34 @@
 		fetchFrom, kind = b.fetchStore, sourceStore
 	}
 	u, err := fetchFrom(ctx, s, after, wait)
+	if err == nil && b.isOutdated(u) {
+		err = errEarlierEra
+	}
 	b.metrics.recordFetch(kind, start, err)
 	return u, err
 }
 
 func (b *Balancer) fetchPeer(ctx context.Context, s follower.Source, after uint64, wait time.Duration) (replicator.Update, error) {
 	requested := b.ViewClock()
-	u, waited, err := b.view.requestUpdate(ctx, s.Peer.Address, after, wait)
+	u, waited, err := b.view.requestUpdate(ctx, s.Peer.Address, b.storeEra(), after, wait)
 	u.Age += follower.PeerAnswerAge(b.ViewClock().Sub(requested), waited)
 	return u, err
 }
 
+// isOutdated reports whether an update is of an earlier era of the store.
+func (b *Balancer) isOutdated(u replicator.Update) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.view.replica.IsOutdated(u)
+}
+
+// storeEra returns the era of the view.
+func (b *Balancer) storeEra() uint64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.view.replica.Era()
+}
+
 func (b *Balancer) fetchStore(ctx context.Context, _ follower.Source, after uint64, wait time.Duration) (replicator.Update, error) {
 	requested := b.ViewClock()
 	u, err := b.directory.Fetch(ctx, after, wait)
--- a/balancer/fixture_test.go
+++ b/balancer/fixture_test.go
@@ -30,6 +30,7 @@
 	mu       sync.Mutex
 	replica  replicator.Replica
 	revision uint64
+	era      uint64
 	down     bool
 	// waiting counts the queries that have begun to wait for a change.
 	waiting atomic.Int64
@@ -49,6 +50,15 @@
 	s.replica.Merge(replicator.Update{Items: []replicator.Item{item}, Revision: s.revision}, time.Now())
 }
 
+// returnTo makes the store come back from a copy with these items, in a new era.
+func (s *store) returnTo(revision uint64, items ...replicator.Item) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.revision, s.replica = revision, replicator.Replica{}
+	s.replica.Merge(replicator.Update{Items: items, Revision: revision, Full: true}, time.Now())
+}
+
 func (s *store) setDown(down bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -70,7 +80,11 @@
 	end := time.Now().Add(wait)
 	for first := true; ; first = false {
 		s.mu.Lock()
+		if after > s.revision {
+			after = 0 // a watch from a revision that the store doesn't have ends in a listing
+		}
 		u := s.replica.Since(after, time.Now())
+		u.Era, u.EraAge = s.era, 0
 		down, changed := s.down, s.replica.ChangedSince(after)
 		s.mu.Unlock()
 		u.Age = 0
--- a/balancer/metrics.go
+++ b/balancer/metrics.go
@@ -59,6 +59,7 @@
 		defer b.mu.Unlock()
 		return float64(b.view.replica.Revision())
 	})
+	set.NewGauge("trefoilspring_store_era", func() float64 { return float64(b.storeEra()) })
 	set.NewGauge("trefoilspring_configuration_version", func() float64 {
 		b.mu.Lock()
 		defer b.mu.Unlock()
--- a/balancer/peers.go
+++ b/balancer/peers.go
@@ -77,14 +77,15 @@
 	return fmt.Sprintf("peer %s answered with status %d", e.address, e.status)
 }
 
-// requestUpdate requests the changes after a revision from the peer at an address. The
+// requestUpdate requests the changes after a revision of an era from the peer at an address. The
 // peer waits up to wait for a change. requestUpdate also returns how long the peer waited.
-func (v *view) requestUpdate(ctx context.Context, address string, after uint64, wait time.Duration) (replicator.Update, time.Duration, error) {
+func (v *view) requestUpdate(ctx context.Context, address string, era, after uint64, wait time.Duration) (replicator.Update, time.Duration, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+peerResponseMargin)
 	defer cancel()
 	query := url.Values{
 		afterParameter: {strconv.FormatUint(after, 10)},
 		waitParameter:  {strconv.FormatInt(wait.Milliseconds(), 10)},
+		eraParameter:   {strconv.FormatUint(era, 10)},
 	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+viewPath+"?"+query.Encode(), nil)
 	if err != nil {
@@ -119,6 +120,9 @@
 	if err != nil {
 		return replicator.Update{}, 0, errors.Wrapf(err, "decoding the response of peer %s: header %s", address, waitedHeader)
 	}
+	if err := readEra(res.Header, &u); err != nil {
+		return replicator.Update{}, 0, errors.Wrapf(err, "decoding the response of peer %s", address)
+	}
 	if u.Revision == 0 {
 		return replicator.Update{}, 0, errors.Wrapf(errNoView, "requesting the view from peer %s", address)
 	}
@@ -135,9 +139,9 @@
 // handleView responds with the changes after the revision in the query, encoded as CBOR.
 // It waits for a change as long as the query asks for, up to maxPeerWait.
 func (b *Balancer) handleView(w http.ResponseWriter, r *http.Request) {
-	after, err := strconv.ParseUint(r.FormValue(afterParameter), 10, 64)
+	at, err := parsePosition(r.URL.Query())
 	if err != nil {
-		http.Error(w, afterParameter+" must be a revision", http.StatusBadRequest)
+		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
 	ms, err := strconv.ParseUint(r.FormValue(waitParameter), 10, 32)
@@ -146,9 +150,13 @@
 		return
 	}
 	arrived := b.ViewClock()
-	u := b.awaitUpdate(r.Context(), after, min(time.Duration(ms)*time.Millisecond, maxPeerWait))
+	u := b.awaitUpdate(r.Context(), at, min(time.Duration(ms)*time.Millisecond, maxPeerWait))
 	waited := b.ViewClock().Sub(arrived)
 	b.compressItems(u.Items)
+	after := at.revision
+	if u.Full {
+		after = 0
+	}
 	res, err := b.responses.encode(b.ViewClock(), after, u)
 	if err != nil {
 		b.log.Error("cannot encode view for peer", "cause", err.Error())
@@ -159,6 +167,7 @@
 		w.Header().Set("Content-Encoding", "gzip")
 	}
 	w.Header().Set(cacheAgeHeader, strconv.FormatInt(b.ViewClock().Sub(res.encodedAt).Milliseconds(), 10))
+	writeEra(w.Header(), u)
 	w.Header().Set(waitedHeader, strconv.FormatInt(waited.Milliseconds(), 10))
 	if _, err := w.Write(res.body); err != nil {
 		b.metrics.peerResponsesLost.Inc()
@@ -187,10 +196,10 @@
 // viewResponse is the encoded response to a peer's request for the changes after a
 // revision.
 type viewResponse struct {
-	after, revision uint64
-	encodedAt       time.Time
-	body            []byte
-	compressed      bool
+	after, revision, era uint64
+	encodedAt            time.Time
+	body                 []byte
+	compressed           bool
 }
 
 // responseCache encodes responses to peers and caches the latest large one, so that it is
@@ -218,14 +227,14 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	res := c.latest
-	if res.body != nil && res.after == after && (res.revision == u.Revision || after == 0) && now.Sub(res.encodedAt) < responseCacheTTL {
+	if res.body != nil && res.era == u.Era && res.after == after && (res.revision == u.Revision || after == 0) && now.Sub(res.encodedAt) < responseCacheTTL {
 		return res, nil
 	}
 	data, err := cbor.Marshal(u)
 	if err != nil {
 		return viewResponse{}, errors.Wrap(err, "encoding a view")
 	}
-	res = viewResponse{after: after, revision: u.Revision, encodedAt: now, body: data}
+	res = viewResponse{after: after, revision: u.Revision, era: u.Era, encodedAt: now, body: data}
 	if len(data) < minCompressedResponseBytes {
 		return res, nil
 	}
--- a/balancer/registrar.go
+++ b/balancer/registrar.go
@@ -72,7 +72,8 @@
 }
 
 // renewOrRegister renews the lease. If the lease has ended or the view lacks the
-// registration, it registers the balancer with a new lease.
+// registration with this lease, it registers the balancer with a new lease. A store that came
+// back from an older copy may have given the number of the lease to another balancer.
 func (r *registrar) renewOrRegister(ctx context.Context) error {
 	b := r.balancer
 	if r.lease != 0 {
@@ -82,7 +83,7 @@
 		}
 		inherited := r.inherited
 		r.inherited = false
-		if kept && (inherited || b.isRegistered()) {
+		if kept && (inherited || b.isRegistered(r.lease)) {
 			return nil
 		}
 		b.log.Info("registration lost; registering again", "lease", r.lease)
@@ -110,10 +111,15 @@
 	return b.directory.Put(ctx, balancerKeyPrefix+b.settings.Name, value, lease)
 }
 
-// isRegistered reports whether the view contains the balancer's own registration.
-func (b *Balancer) isRegistered() bool {
+// isRegistered reports whether the store has the balancer's own registration with a lease, as
+// far as the view knows.
+func (b *Balancer) isRegistered(lease uint64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	_, ok := b.view.peers[b.settings.Name]
-	return ok
+	item, found := b.view.replica.Find(balancerKeyPrefix + b.settings.Name)
+	if !found {
+		return false
+	}
+	p, r, valid := b.decodePeer(b.settings.Name, item)
+	return valid && p == b.self() && r.Lease == lease
 }
--- a/balancer/view.go
+++ b/balancer/view.go
@@ -82,20 +82,23 @@
 			"stood-still-ms", stoodStill.Milliseconds(), "source", s.String())
 	}
 	v.mergingFirst = v.replica.Revision() == 0
+	before := v.eraBefore()
 	changed := v.replica.Merge(u, viewNow)
+	b.beginEra(now, viewNow, before)
 	for _, item := range changed {
 		b.apply(now, item, s)
 	}
 	if age, known := v.replica.Age(viewNow); known {
 		b.director.SetConfirmed(now.Add(-age))
 	}
+	b.endGrace(before)
 	if version, configured := b.director.Version(); configured && !v.usable {
 		v.usable = true
 		close(b.viewReady)
 		b.log.Info("first view", "source", s.String(), "revision", v.replica.Revision(),
 			"version", version, "targets", b.director.Targets(), "peers", len(v.peers))
 	}
-	if len(changed) > 0 {
+	if len(changed) > 0 || v.replica.Era() != before.era {
 		close(v.changed)
 		v.changed = make(chan struct{})
 	}
@@ -125,6 +128,7 @@
 	if !relevant {
 		return
 	}
+	inForce, _ := b.director.Version()
 	b.director.Apply(now, change)
 	if !b.view.usable {
 		// The first view is logged in one line. A line for each of its keys would take
@@ -133,6 +137,8 @@
 	}
 	log := b.log.With("source", s.String(), "revision", item.Revision)
 	switch {
+	case change.Configuration != nil && change.Configuration.Version <= inForce:
+		log.Info("older configuration ignored", "version", change.Configuration.Version, "in-force", inForce)
 	case change.Configuration != nil:
 		log.Info("configuration in force", "version", change.Configuration.Version, "routes", len(change.Configuration.Routes))
 	case change.Target != nil && b.mayLogChange(now, &log):
@@ -291,25 +297,30 @@
 func (b *Balancer) removePeer(now time.Time, name string) {
 	delete(b.view.peers, name)
 	b.view.fleet.Remove(now, name)
-	if name != b.settings.Name {
-		return
+	if name == b.settings.Name {
+		b.suspectRegistration()
 	}
+}
+
+// suspectRegistration tells the registrar that the registration may be lost.
+func (b *Balancer) suspectRegistration() {
 	select {
 	case b.registrationLost <- struct{}{}:
 	default:
 	}
 }
 
-// awaitUpdate returns the changes after a revision as soon as there are any. If wait passes
-// or ctx ends before that, the update may hold no changes.
-func (b *Balancer) awaitUpdate(ctx context.Context, after uint64, wait time.Duration) replicator.Update {
+// awaitUpdate returns the changes that a peer at a position needs as soon as there are any. If
+// wait passes or ctx ends before that, the update may hold no changes.
+func (b *Balancer) awaitUpdate(ctx context.Context, at position, wait time.Duration) replicator.Update {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
 		b.mu.Lock()
-		if b.view.replica.ChangedSince(after) {
+		replica := &b.view.replica
+		if after := at.after(replica); replica.ChangedSince(after) {
 			defer b.mu.Unlock()
-			return b.view.replica.Since(after, b.ViewClock())
+			return replica.Since(after, b.ViewClock())
 		}
 		changed := b.view.changed
 		b.mu.Unlock()
@@ -321,7 +332,7 @@
 		}
 		b.mu.Lock()
 		defer b.mu.Unlock()
-		return b.view.replica.Since(after, b.ViewClock())
+		return replica.Since(at.after(replica), b.ViewClock())
 	}
 }
 
--- a/director/absences.go
+++ b/director/absences.go
@@ -76,8 +76,13 @@
 }
 
 // SetConfirmed notes that the store confirmed the view, including all changes applied so
-// far, at the given time: what the view lacks didn't exist then.
-func (d *Director) SetConfirmed(at time.Time) { d.confirmedAt = maxTime(d.confirmedAt, at) }
+// far, at the given time: what the view lacks didn't exist then. A confirmation from the time
+// in which the store may lack what it lost (SetReturn) is ignored.
+func (d *Director) SetConfirmed(at time.Time) {
+	if !at.Before(d.returnEnd) {
+		d.confirmedAt = maxTime(d.confirmedAt, at)
+	}
+}
 
 // viewCovers reports whether the view was confirmed later than a moment. What existed at
 // that moment, and the view lacks, has been removed since.
--- a/director/director.go
+++ b/director/director.go
@@ -134,6 +134,9 @@
 	// outageEnd is the time before which a removed registration doesn't mean that its
 	// target has ended, since the store was unreachable.
 	outageEnd time.Time
+	// returnEnd is the time before which the store may lack what it lost when it came back
+	// from an older copy.
+	returnEnd time.Time
 	// confirmedAt is when the store last confirmed the view.
 	confirmedAt time.Time
 	// absentRoutes and absentTargets hold the addresses and services of openings for which
--- a/director/view.go
+++ b/director/view.go
@@ -1,6 +1,7 @@
 package director
 
 import (
+	"cmp"
 	"net/netip"
 	"time"
 
@@ -76,6 +77,11 @@
 	zone   *zoneHealth
 }
 
+// isSameRun reports whether a registration is of the same run of the target.
+func (m *member) isSameRun(t Target) bool {
+	return m.Name == t.Name && m.ID == t.ID && m.Started == t.Started
+}
+
 // pool holds the targets of one service.
 type pool struct {
 	members []*member
@@ -123,9 +129,15 @@
 // SetTarget adds a registered target, or updates it if it is known. A target under the same
 // name with another Started, Service or ID replaces the known one. A target whose ID another
 // registered target has is ignored.
+//
+// A run of a target that was draining stays so, also if the store came back from a copy that
+// is older than its report.
 func (d *Director) SetTarget(now time.Time, t Target) {
 	old := d.byName[t.Name]
-	if old != nil && old.Started == t.Started && old.Service == t.Service && old.ID == t.ID {
+	if last := cmp.Or(old, d.removed.find(t.ID)); last != nil && last.isSameRun(t) {
+		t.Draining = t.Draining || last.Draining
+	}
+	if old != nil && old.isSameRun(t) && old.Service == t.Service {
 		old.Target = t
 		old.zone = d.zoneHealthOf(t.AvailabilityZone)
 		old.coldUntil = now.Add(t.ColdFor)
@@ -228,6 +240,14 @@
 	d.removed.deferConfirmation(until)
 }
 
+// SetReturn notes that the store came back from an older copy. Until the given time, what it
+// lost may be written again: the Director acts as in an outage, and concludes nothing from
+// what the view lacks.
+func (d *Director) SetReturn(until time.Time) {
+	d.SetOutage(until)
+	d.returnEnd = maxTime(d.returnEnd, until)
+}
+
 // Targets returns the number of known targets.
 func (d *Director) Targets() int { return len(d.byName) }
 
--- a/replicator/era_test.go
+++ b/replicator/era_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -11,6 +12,7 @@
 	"pgregory.net/rapid"
 
 	"trefoilspring.example/trefoilspring/replicator"
+	"trefoilspring.example/trefoilspring/standin/recorder"
 )
 
 // rewriteTime is the time after a return of the store in which its writers write again what
@@ -42,49 +44,16 @@
 	is.Equal(encoded, plain)
 }
 
-// copiedStore is a store that can return to an earlier state.
-type copiedStore struct {
-	era, revision uint64
-	items         map[string]replicator.Item
-	// events holds the changes that led to the state.
-	events []replicator.Item
-	// eraStart is the revision from which keys were written in this era.
-	eraStart uint64
-}
-
-func (s *copiedStore) write(item replicator.Item) {
-	s.revision++
-	item.Revision = s.revision
-	s.events = append(s.events, item)
-	if item.Removed {
-		delete(s.items, item.Key)
-		return
+// fetch answers a watch, or a listing if the store doesn't have the revision.
+func fetch(s *recorder.Store, after uint64) replicator.Update {
+	changes := s.ChangesSince("", after)
+	u := replicator.Update{Era: s.Era(), Revision: changes.Revision, Full: after == 0 || changes.Compacted}
+	items := changes.Items
+	if u.Full {
+		items, _, _ = s.List("", "", math.MaxInt)
 	}
-	s.items[item.Key] = item
-}
-
-// returnBy goes back by a number of changes.
-func (s *copiedStore) returnBy(n int) {
-	events := slices.Clone(s.events[:len(s.events)-n])
-	*s = copiedStore{era: s.era + 1, items: make(map[string]replicator.Item)}
-	for _, e := range events {
-		s.write(e)
-	}
-	s.eraStart = s.revision
-}
-
-// fetch answers a watch, or a listing if the revision is unknown.
-func (s *copiedStore) fetch(after uint64) replicator.Update {
-	u := replicator.Update{Era: s.era, Revision: s.revision, Full: after == 0 || after > s.revision}
-	for _, item := range s.items {
-		if u.Full {
-			u.Items = append(u.Items, item)
-		}
-	}
-	for _, e := range s.events {
-		if !u.Full && e.Revision > after {
-			u.Items = append(u.Items, e)
-		}
+	for _, i := range items {
+		u.Items = append(u.Items, replicator.Item{Key: i.Key, Value: i.Value, Revision: i.Revision, Removed: i.Removed})
 	}
 	return u
 }
@@ -103,7 +72,11 @@
 type eraHistory struct {
 	t     *rapid.T
 	now   time.Time
-	store copiedStore
+	store *recorder.Store
+	// copies holds the states that the store may return to, and returned the revision that
+	// it last returned to.
+	copies   []recorder.Copy
+	returned uint64
 	// truth is what the writers want the store to hold. They write it again until
 	// rewriteBy, if the store has lost it.
 	truth     map[string]string
@@ -120,9 +93,9 @@
 )
 
 func newEraHistory(t *rapid.T) *eraHistory {
-	h := &eraHistory{t: t, now: start, truth: make(map[string]string)}
-	h.store = copiedStore{era: 1, items: make(map[string]replicator.Item)}
+	h := &eraHistory{t: t, now: start, store: recorder.New(), truth: make(map[string]string)}
 	h.write("always") // no copy is empty
+	h.copies = append(h.copies, h.store.Copy())
 	for _, key := range lasting {
 		h.write(key)
 	}
@@ -135,10 +108,11 @@
 func (h *eraHistory) write(key string) {
 	h.writes++
 	h.truth[key] = fmt.Sprint(h.writes)
-	h.store.write(replicator.Item{Key: key, Value: []byte(h.truth[key])})
+	h.store.Set(key, []byte(h.truth[key]))
 }
 
 func (h *eraHistory) step() {
+	h.copies = append(h.copies, h.store.Copy())
 	key := rapid.SampledFrom(changing).Draw(h.t, "key")
 	r := rapid.SampledFrom(h.replicas).Draw(h.t, "replica")
 	switch rapid.IntRange(0, 10).Draw(h.t, "step") {
@@ -147,15 +121,17 @@
 	case 1:
 		if h.truth[key] != "" {
 			delete(h.truth, key)
-			h.store.write(replicator.Item{Key: key, Removed: true})
+			h.store.Set(key, nil)
 		}
 	case 2:
-		h.store.returnBy(rapid.IntRange(0, min(6, len(h.store.events)-1)).Draw(h.t, "lost"))
+		h.copies = h.copies[:1+rapid.IntRange(max(0, len(h.copies)-6), len(h.copies)-1).Draw(h.t, "copy")]
+		h.store.Return(h.copies[len(h.copies)-1])
+		h.returned = h.store.ChangesSince("", 0).Revision
 		h.rewriteBy = h.now.Add(rewriteTime)
 	case 3:
 		*r.Replica, r.shown = replicator.Replica{}, make(map[string]string)
 	case 4:
-		h.late = append(h.late, lateAnswer{h.store.fetch(r.After()), h.now})
+		h.late = append(h.late, lateAnswer{fetch(h.store, r.After()), h.now})
 	case 5:
 		if len(h.late) > 0 {
 			// Answers of the store arrive in any order, or never.
@@ -193,13 +169,17 @@
 }
 
 func (h *eraHistory) rewrite() {
+	stored := make(map[string]string)
+	for _, item := range fetch(h.store, 0).Items {
+		stored[item.Key] = string(item.Value)
+	}
 	for _, key := range append(append([]string{"always"}, lasting...), changing...) {
-		item, exists := h.store.items[key]
 		switch want := h.truth[key]; {
-		case want == "" && exists:
-			h.store.write(replicator.Item{Key: key, Removed: true})
-		case want != "" && string(item.Value) != want:
-			h.store.write(replicator.Item{Key: key, Value: []byte(want)})
+		case want == stored[key]:
+		case want == "":
+			h.store.Set(key, nil)
+		default:
+			h.store.Set(key, []byte(want))
 		}
 	}
 }
@@ -207,11 +187,11 @@
 // ask lets a replica ask the store until it has the content of its era.
 func (h *eraHistory) ask(r *modelReplica) {
 	for range 2 {
-		h.merge(r, h.store.fetch(r.After()))
+		h.merge(r, fetch(h.store, r.After()))
 	}
-	for key, item := range h.store.items {
-		if item.Revision > h.store.eraStart && r.shown[key] != string(item.Value) {
-			h.t.Fatalf("%s was written after the return: shown %q, store %q", key, r.shown[key], item.Value)
+	for _, item := range fetch(h.store, 0).Items {
+		if item.Revision > h.returned && r.shown[item.Key] != string(item.Value) {
+			h.t.Fatalf("%s was written after the return: shown %q, store %q", item.Key, r.shown[item.Key], item.Value)
 		}
 	}
 }
--- a/standin/recorder/recorder.go
+++ b/standin/recorder/recorder.go
@@ -1,6 +1,6 @@
 // Package recorder is an in-memory key-value store with a revision for each change, a history
 // of changes, and leases. Simulated key-value services with different APIs can be built on it.
-// It can inject faults: drop its history, revoke leases early and hide keys.
+// It can inject faults: drop its history, revoke leases early, hide keys and return to a copy.
 //
 // # Usage
 //
@@ -36,8 +36,10 @@
 
 	mu       sync.Mutex
 	revision uint64
-	items    map[string]Item
-	history  []Item
+	// era is how often the store returned to a copy.
+	era     uint64
+	items   map[string]Item
+	history []Item
 	// historyStart is the revision after which the history is complete.
 	historyStart uint64
 	leaseExpiry  map[uint64]time.Time
@@ -125,7 +127,8 @@
 // Changes holds the changes after a revision.
 type Changes struct {
 	Items []Item
-	// Compacted says that a part of this history was dropped, so that Items may be incomplete.
+	// Compacted says that a part of this history was dropped, or that the store doesn't have
+	// the revision, so that Items may be incomplete.
 	Compacted bool
 	Revision  uint64
 	// Changed is closed by the next change.
@@ -136,7 +139,7 @@
 func (s *Store) ChangesSince(prefix string, after uint64) Changes {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c := Changes{Compacted: after < s.historyStart, Revision: s.revision, Changed: s.changed}
+	c := Changes{Compacted: after < s.historyStart || after > s.revision, Revision: s.revision, Changed: s.changed}
 	for _, i := range s.history {
 		if i.Revision > after && strings.HasPrefix(i.Key, prefix) && !s.isHidden(i.Key) {
 			c.Items = append(c.Items, i)
