director: histories of a store that returns; a drained run stays drained

A run of a target that was seen draining became ready again when an older copy of the store said so, also an earlier run of a name whose next run was known.

replicator remembers the removals of earlier eras over several returns in a row; the histories found that an ended evacuation came back with the second.

--- a/director/director.go
+++ b/director/director.go
@@ -118,6 +118,8 @@
 	tokens *tokenizer.Table[*member]
 	// removed holds the targets whose registrations were removed recently.
 	removed *removedTargets
+	// drained holds the runs of targets that were seen draining.
+	drained drainedRuns
 	// zonesOut holds the availability zones that operators have taken out.
 	zonesOut map[string]bool
 	// zones holds the health of each availability zone.
@@ -168,6 +170,7 @@
 		byName:        make(map[string]*member),
 		tokens:        tokenizer.New[*member](),
 		removed:       newRemovedTargets(),
+		drained:       make(drainedRuns),
 		zonesOut:      make(map[string]bool),
 		zones:         make(map[string]*zoneHealth),
 		absentRoutes:  newAbsences[netip.AddrPort](),
@@ -394,6 +397,7 @@
 	d.recheckUnreachable(now)
 	d.removeLapsed(now)
 	d.removed.expire(now)
+	d.drained.expire(now, d.byName)
 	d.absentRoutes.expire(now)
 	d.absentTargets.expire(now)
 	d.tokens.Expire(now)
--- a/director/view.go
+++ b/director/view.go
@@ -1,7 +1,6 @@
 package director
 
 import (
-	"cmp"
 	"net/netip"
 	"time"
 
@@ -77,11 +76,6 @@
 	zone   *zoneHealth
 }
 
-// isSameRun reports whether a registration is of the same run of the target.
-func (m *member) isSameRun(t Target) bool {
-	return m.Name == t.Name && m.ID == t.ID && m.Started == t.Started
-}
-
 // pool holds the targets of one service.
 type pool struct {
 	members []*member
@@ -134,10 +128,8 @@
 // is older than its report.
 func (d *Director) SetTarget(now time.Time, t Target) {
 	old := d.byName[t.Name]
-	if last := cmp.Or(old, d.removed.find(t.ID)); last != nil && last.isSameRun(t) {
-		t.Draining = t.Draining || last.Draining
-	}
-	if old != nil && old.isSameRun(t) && old.Service == t.Service {
+	d.drained.apply(now, &t)
+	if old != nil && old.Started == t.Started && old.Service == t.Service && old.ID == t.ID {
 		old.Target = t
 		old.zone = d.zoneHealthOf(t.AvailabilityZone)
 		old.coldUntil = now.Add(t.ColdFor)
--- a/replicator/era.go
+++ b/replicator/era.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"maps"
 	"math"
 	"time"
 )
@@ -34,6 +35,8 @@
 	// hidden holds the keys that the store has in this era as they were before a removal
 	// of an earlier era.
 	hidden map[string]bool
+	// gone holds the last items of keys that were removed in earlier eras.
+	gone map[string]Item
 	// givenUp is the number of retained keys that were not written again.
 	givenUp int
 }
@@ -69,6 +72,9 @@
 // update has them as they were.
 func (r *Replica) beginEra(u Update, era uint64, now time.Time) []Item {
 	known, gone := r.shown(), make(map[string]Item, len(r.removals))
+	if len(r.era.gone) <= maxRemovals {
+		maps.Copy(gone, r.era.gone) // the store may return several times in a row
+	}
 	for key, rem := range r.removals {
 		gone[key] = rem.last
 	}
@@ -76,7 +82,7 @@
 		gone[key] = r.items[key]
 	}
 	before := r.era
-	r.era = eraState{number: era, newest: era, hidden: make(map[string]bool), givenUp: before.givenUp}
+	r.era = eraState{number: era, newest: era, hidden: make(map[string]bool), gone: gone, givenUp: before.givenUp}
 	r.era.risen = before.risen || r.revision > 0
 	if r.mayHaveReturned() {
 		r.era.since, r.era.inGrace = now.Add(-u.EraAge), true
