--- a/replicator/era_test.go
+++ b/replicator/era_test.go
@@ -174,9 +174,9 @@
 		stored[item.Key] = string(item.Value)
 	}
 	for _, key := range append(append([]string{"always"}, lasting...), changing...) {
-		switch want := h.truth[key]; {
-		case want == stored[key]:
-		case want == "":
+		switch want := h.truth[key]; want {
+		case stored[key]:
+		case "":
 			h.store.Set(key, nil)
 		default:
 			h.store.Set(key, []byte(want))
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -156,7 +156,7 @@
 	var changed []Item
 	for _, item := range u.Items {
 		hidden := r.era.hidden[item.Key]
-		if r.mergeItem(item) && !(hidden && item.Removed) {
+		if r.mergeItem(item) && (!hidden || !item.Removed) {
 			changed = append(changed, item)
 		}
 	}
