--- a/standin/kvserver/handlers.go
+++ b/standin/kvserver/handlers.go
@@ -11,6 +11,9 @@
 	// indexHeader carries the index of a read key: its modify index, or the index
 	// of the whole store if the key does not exist.
 	indexHeader = "X-Consul-Index"
+	// eraHeader carries the era, which rises by one each time that the store returns from
+	// a saved copy. Consul has no such header.
+	eraHeader = "Store-Era"
 	// defaultWait is how long a blocking query waits if its "wait" parameter is
 	// missing or invalid; maxWait is the upper limit of that parameter.
 	defaultWait = 5 * time.Minute
--- a/standin/kvserver/server.go
+++ b/standin/kvserver/server.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 )
 
@@ -110,6 +111,7 @@
 	s.abortInOutage()
 	s.counter.update(func(c *CallCounts) { c.BytesOut += uint64(len(body)) })
 	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set(eraHeader, strconv.FormatUint(s.store.currentEra(), 10))
 	w.WriteHeader(status)
 	_, _ = w.Write(body)
 }
--- a/standin/kvserver/store.go
+++ b/standin/kvserver/store.go
@@ -18,13 +18,15 @@
 //   - stale=on|off answers reads without the parameter "consistent" from a
 //     snapshot, taken when the switch was set.
 //   - lapse-sessions=1 ends all sessions.
-//   - save=1 takes a snapshot of all keys, and restore=1 goes back to it.
+//   - save=1 takes a snapshot of all keys and sessions, and restore=1 goes back to it and
+//     raises the number in the header Store-Era of all responses.
 //   - read-rate=2000 and write-rate=300 limit the calls a second; 0 sets no limit.
 //
 // GET /calls returns the counters as JSON.
 package kvserver
 
 import (
+	"maps"
 	"sync"
 	"time"
 )
@@ -51,6 +53,8 @@
 type snapshot struct {
 	index   uint64
 	records map[string]record
+	// sessions is set in saved snapshots only.
+	sessions map[string]session
 }
 
 // clone returns a copy with a record map of its own; the values are shared.
@@ -69,8 +73,10 @@
 	current snapshot
 	// stale, unless it is nil, answers the reads that don't ask for consistency.
 	stale *snapshot
-	// saved is what restore goes back to; nil if nothing was saved.
+	// saved is what restore goes back to; nil if nothing was saved. era is 1 more than the
+	// number of times that it did.
 	saved    *snapshot
+	era      uint64
 	sessions map[string]session
 	// changes holds a channel for each watched key, closed at its next change.
 	changes map[string]chan struct{}
@@ -79,6 +85,7 @@
 func newStore() *store {
 	return &store{
 		now:      time.Now,
+		era:      1,
 		current:  snapshot{index: 1, records: map[string]record{}},
 		sessions: map[string]session{},
 		changes:  map[string]chan struct{}{},
@@ -177,6 +184,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	snap := s.current.clone()
+	snap.sessions = maps.Clone(s.sessions)
 	*target = &snap
 }
 
@@ -189,8 +197,8 @@
 	s.wakeAllWaiters()
 }
 
-// restore goes back to the saved snapshot, also with the store's index. It returns
-// false if nothing was saved.
+// restore goes back to the saved snapshot, also with the store's index and sessions, and
+// begins a new era. It returns false if nothing was saved.
 func (s *store) restore() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -198,6 +206,15 @@
 		return false
 	}
 	s.current = s.saved.clone()
+	s.sessions = maps.Clone(s.saved.sessions)
+	s.era++
 	s.wakeAllWaiters()
 	return true
 }
+
+// currentEra returns the number of the era.
+func (s *store) currentEra() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
