director: a start in a later era only delays conclusions

A balancer that starts while the era is above 1 can't know how old the era is. It acted as in an outage for 2.5 s, in which targets that lapse get new flows. It now only rejects nothing for what the view lacks in that time.

--- a/balancer/era.go
+++ b/balancer/era.go
@@ -97,12 +97,12 @@
 	if r.Era() == before.era {
 		return
 	}
-	if left := r.GraceEnd().Sub(viewNow); left > 0 {
-		b.director.SetReturn(now.Add(left))
-	}
+	graceEnd := now.Add(r.GraceEnd().Sub(viewNow))
+	b.director.SetReturn(graceEnd)
 	if b.view.mergingFirst {
 		return
 	}
+	b.director.SetOutage(graceEnd)
 	b.log.Warn("new era of the store: it may have come back from an older copy", "era", r.Era(),
 		"era-before", before.era, "revision", r.Revision(), "keys-retained", r.Retained())
 	b.suspectRegistration()
--- a/director/return_test.go
+++ b/director/return_test.go
@@ -213,10 +213,13 @@
 	if age, known := b.replica.Age(h.now); known && age > 2*time.Second {
 		b.SetOutage(h.now.Add(2500 * time.Millisecond))
 	}
-	era := b.replica.Era()
+	era, first := b.replica.Era(), b.replica.Revision() == 0
 	changed := b.replica.Merge(u, h.now)
 	if b.replica.Era() != era && b.replica.InGrace() {
 		b.SetReturn(b.replica.GraceEnd())
+		if !first {
+			b.SetOutage(b.replica.GraceEnd())
+		}
 	}
 	for _, item := range changed {
 		h.apply(b, item)
--- a/director/view.go
+++ b/director/view.go
@@ -232,13 +232,9 @@
 	d.removed.deferConfirmation(until)
 }
 
-// SetReturn notes that the store came back from an older copy. Until the given time, what it
-// lost may be written again: the Director acts as in an outage, and concludes nothing from
-// what the view lacks.
-func (d *Director) SetReturn(until time.Time) {
-	d.SetOutage(until)
-	d.returnEnd = maxTime(d.returnEnd, until)
-}
+// SetReturn notes that the store may have come back from an older copy. Until the given time,
+// what it lost may be written again, so nothing is concluded from what the view lacks.
+func (d *Director) SetReturn(until time.Time) { d.returnEnd = maxTime(d.returnEnd, until) }
 
 // Targets returns the number of known targets.
 func (d *Director) Targets() int { return len(d.byName) }
