--- a/director/director.go
+++ b/director/director.go
@@ -122,6 +122,8 @@
 	tokens *tokenizer.Table[*member]
 	// removed holds the targets whose registrations were removed recently.
 	removed *removedTargets
+	// drained holds the runs of targets that were seen draining.
+	drained drainedRuns
 	// zonesOut holds the availability zones that operators have taken out.
 	zonesOut map[string]bool
 	// zones holds the health of each availability zone.
@@ -138,6 +140,9 @@
 	// outageEnd is the time before which a removed registration doesn't mean that its
 	// target has ended, since the store was unreachable.
 	outageEnd time.Time
+	// returnEnd is the time before which the store may lack what it lost when it came back
+	// from an older copy.
+	returnEnd time.Time
 	// confirmedAt is when the store last confirmed the view.
 	confirmedAt time.Time
 	// absentRoutes and absentTargets hold the addresses and services of openings for which
@@ -178,6 +183,7 @@
 		byName:        make(map[string]*member),
 		tokens:        tokenizer.New[*member](),
 		removed:       newRemovedTargets(),
+		drained:       make(drainedRuns),
 		zonesOut:      make(map[string]bool),
 		zones:         make(map[string]*zoneHealth),
 		absentRoutes:  newAbsences[netip.AddrPort](),
@@ -420,6 +426,7 @@
 	d.recheckUnreachable(now)
 	d.removeLapsed(now)
 	d.removed.expire(now)
+	d.drained.expire(now, d.byName)
 	d.absentRoutes.expire(now)
 	d.absentTargets.expire(now)
 	d.tokens.Expire(now)
--- a/director/view.go
+++ b/director/view.go
@@ -141,8 +141,12 @@
 // SetTarget adds a registered target, or updates it if it is known. A target under the same
 // name with another Started, Service or ID replaces the known one. A target whose ID another
 // registered target has is ignored.
+//
+// A run of a target that was draining stays so, also if the store came back from a copy that
+// is older than its report.
 func (d *Director) SetTarget(now time.Time, t Target) {
 	old := d.byName[t.Name]
+	d.drained.apply(now, &t)
 	if old != nil && old.Started == t.Started && old.Service == t.Service && old.ID == t.ID {
 		old.Target = t
 		old.setSpeed(old.speed())
@@ -248,6 +252,10 @@
 	d.removed.deferConfirmation(until)
 }
 
+// SetReturn notes that the store may have come back from an older copy. Until the given time,
+// what it lost may be written again, so nothing is concluded from what the view lacks.
+func (d *Director) SetReturn(until time.Time) { d.returnEnd = maxTime(d.returnEnd, until) }
+
 // Targets returns the number of known targets.
 func (d *Director) Targets() int { return len(d.byName) }
 
