balancer: count the fleet once for each update

Cause: each registration of a balancer in an update counted the whole fleet again. Change: the counts are applied after the update.

--- a/balancer/view.go
+++ b/balancer/view.go
@@ -86,6 +86,7 @@
 	for _, item := range changed {
 		b.apply(now, item, s)
 	}
+	b.director.SetFleet(now, b.view.fleet)
 	if age, known := v.replica.Age(viewNow); known {
 		b.director.SetConfirmed(now.Add(-age))
 	}
@@ -283,7 +284,6 @@
 			log.Info("balancer registered", "peer", name, "zone", p.AvailabilityZone)
 		}
 	}
-	b.director.SetFleet(now, b.view.fleet)
 }
 
 // removePeer removes a balancer whose registration was removed. If it is this one, the
