--- a/director/opening_test.go
+++ b/director/opening_test.go
@@ -141,6 +141,7 @@
 	now       time.Duration
 	events    []flowEvent
 	directors []*director.Director
+	power     powerLoss
 	// answers holds the number of answers that each target has sent to an opening packet
 	// of the flow, echoes the token that it echoes.
 	answers map[string]int
@@ -222,6 +223,7 @@
 	for range rapid.IntRange(0, 3).Draw(h.t, "restarts") {
 		h.after(h.drawTime("restart at"), func() { h.directors[h.pick()] = h.newDirector() })
 	}
+	h.losePower()
 	if rapid.Bool().Draw(h.t, "target leaves") {
 		leaving := target(rapid.IntRange(1, 6).Draw(h.t, "leaving"))
 		leaving.Draining = true
@@ -258,7 +260,7 @@
 
 // send sends a packet of the caller.
 func (h *flowHistory) send(p *director.Packet) {
-	h.deliver("caller's packet", func() { h.decide(h.directors[h.pick()], p) })
+	h.deliver("caller's packet", func() { h.arrive(h.pick(), p) })
 }
 
 func (h *flowHistory) decide(d *director.Director, p *director.Packet) {
