--- a/balancer/era.go
+++ b/balancer/era.go
@@ -53,13 +53,13 @@
 	return p, nil
 }
 
-// writeEra adds the era of an update to a response.
-func writeEra(h http.Header, u replicator.Update) {
-	if u.Era == 0 {
+// writeEra adds an era and the time since the sender learned of it to a response.
+func writeEra(h http.Header, era uint64, age time.Duration) {
+	if era == 0 {
 		return
 	}
-	h.Set(eraHeader, strconv.FormatUint(u.Era, 10))
-	h.Set(eraAgeHeader, strconv.FormatInt(u.EraAge.Milliseconds(), 10))
+	h.Set(eraHeader, strconv.FormatUint(era, 10))
+	h.Set(eraAgeHeader, strconv.FormatInt(age.Milliseconds(), 10))
 }
 
 // readEra reads the era of an update from a response. It is 0 if the response has none.
--- a/balancer/peers.go
+++ b/balancer/peers.go
@@ -157,14 +157,13 @@
 	}
 	arrived := b.ViewClock()
 	reported := b.load.takeRequest(r)
-	u := b.awaitUpdate(r.Context(), at, min(time.Duration(ms)*time.Millisecond, maxPeerWait))
+	requested := b.awaitChange(r.Context(), at, min(time.Duration(ms)*time.Millisecond, maxPeerWait))
 	waited := b.ViewClock().Sub(arrived)
-	b.compressItems(u.Items)
-	after := at.revision
-	if u.Full {
-		after = 0
-	}
-	res, err := b.responses.encode(b.ViewClock(), after, u)
+	res, err := b.responses.encode(b.ViewClock, requested, func() replicator.Update {
+		u := b.updateFor(at)
+		b.compressItems(u.Items)
+		return u
+	})
 	if err != nil {
 		b.log.Error("cannot encode view for peer", "cause", err.Error())
 		http.Error(w, "encoding failed", http.StatusInternalServerError)
@@ -174,7 +173,7 @@
 		w.Header().Set("Content-Encoding", "gzip")
 	}
 	w.Header().Set(cacheAgeHeader, strconv.FormatInt(b.ViewClock().Sub(res.encodedAt).Milliseconds(), 10))
-	writeEra(w.Header(), u)
+	writeEra(w.Header(), res.era, res.eraAge)
 	w.Header().Set(waitedHeader, strconv.FormatInt(waited.Milliseconds(), 10))
 	if reported {
 		b.load.answer(w.Header())
@@ -203,13 +202,28 @@
 	}
 }
 
-// viewResponse is the encoded response to a peer's request for the changes after a
-// revision.
+// changes identifies the changes of the view, in an era up to a revision, that follow the
+// revision after.
+type changes struct {
+	era, after, revision uint64
+}
+
+// viewResponse is an encoded response to a peer's request.
 type viewResponse struct {
-	after, revision, era uint64
-	encodedAt            time.Time
-	body                 []byte
-	compressed           bool
+	changes
+	eraAge     time.Duration
+	encodedAt  time.Time
+	body       []byte
+	compressed bool
+}
+
+// isFor reports whether the response may be sent to a peer that requests some changes. A peer
+// that requests all keys may get a response that lacks the latest changes.
+func (res *viewResponse) isFor(requested changes) bool {
+	if requested.after == 0 {
+		requested.revision = res.revision
+	}
+	return res.changes == requested
 }
 
 // responseCache encodes responses to peers and caches the latest large one, so that it is
@@ -230,21 +244,28 @@
 	responseCacheTTL = 200 * time.Millisecond
 )
 
-// encode returns the response with update u, which holds the changes after a revision. If
-// the revision is 0, the peer requests all keys, and a cached response is used even if it
-// lacks the latest changes.
-func (c *responseCache) encode(now time.Time, after uint64, u replicator.Update) (viewResponse, error) {
+// encode returns the response with the update that build returns. A cached response for the
+// requested changes is used instead of another one.
+//
+// Load pattern: 50 peers of a zone start together and wait for the reader's first view of 3,000
+// targets. build copies the whole view, so it isn't called for each of them.
+func (c *responseCache) encode(clock func() time.Time, requested changes, build func() replicator.Update) (viewResponse, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	now := clock()
 	res := c.latest
-	if res.body != nil && res.era == u.Era && res.after == after && (res.revision == u.Revision || after == 0) && now.Sub(res.encodedAt) < responseCacheTTL {
+	if res.body != nil && res.isFor(requested) && now.Sub(res.encodedAt) < responseCacheTTL {
 		return res, nil
 	}
+	u := build()
 	data, err := cbor.Marshal(u)
 	if err != nil {
 		return viewResponse{}, errors.Wrap(err, "encoding a view")
 	}
-	res = viewResponse{after: after, revision: u.Revision, era: u.Era, encodedAt: now, body: data}
+	res = viewResponse{
+		changes: changes{era: u.Era, after: requested.after, revision: u.Revision},
+		eraAge:  u.EraAge, encodedAt: now, body: data,
+	}
 	if len(data) < minCompressedResponseBytes {
 		return res, nil
 	}
--- a/balancer/view.go
+++ b/balancer/view.go
@@ -90,6 +90,7 @@
 	for _, item := range changed {
 		b.apply(now, item, s)
 	}
+	b.director.SetFleet(now, b.view.fleet)
 	if age, known := v.replica.Age(viewNow); known {
 		b.director.SetConfirmed(now.Add(-age))
 	}
@@ -291,7 +292,6 @@
 			log.Info("balancer registered", "peer", name, "zone", p.AvailabilityZone)
 		}
 	}
-	b.director.SetFleet(now, b.view.fleet)
 }
 
 // removePeer removes a balancer whose registration was removed. If it is this one, the
@@ -312,31 +312,36 @@
 	}
 }
 
-// awaitUpdate returns the changes that a peer at a position needs as soon as there are any. If
-// wait passes or ctx ends before that, the update may hold no changes.
-func (b *Balancer) awaitUpdate(ctx context.Context, at position, wait time.Duration) replicator.Update {
+// awaitChange returns as soon as the view holds changes that a peer at a position needs, or when
+// wait has passed or ctx ends. It returns what identifies these changes.
+func (b *Balancer) awaitChange(ctx context.Context, at position, wait time.Duration) changes {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
-	for {
+	for waiting := true; ; {
 		b.mu.Lock()
-		replica := &b.view.replica
-		if after := at.after(replica); replica.ChangedSince(after) {
-			defer b.mu.Unlock()
-			return replica.Since(after, b.ViewClock())
-		}
-		changed := b.view.changed
+		replica, changed := &b.view.replica, b.view.changed
+		c := changes{era: replica.Era(), after: at.after(replica), revision: replica.Revision()}
+		ready := !waiting || replica.ChangedSince(c.after)
 		b.mu.Unlock()
+		if ready {
+			return c
+		}
 		select {
 		case <-changed:
-			continue
 		case <-timer.C:
+			waiting = false
 		case <-ctx.Done():
+			waiting = false
 		}
-		b.mu.Lock()
-		defer b.mu.Unlock()
-		return replica.Since(at.after(replica), b.ViewClock())
 	}
 }
 
+// updateFor returns the changes that a peer at a position needs.
+func (b *Balancer) updateFor(at position) replicator.Update {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.view.replica.Since(at.after(&b.view.replica), b.ViewClock())
+}
+
 // errNoView reports a peer that has not received a view yet.
 var errNoView = errors.New("the peer has no view yet")
