balancer: compare a registration by its lease, not by its address

The check that the store has this balancer's registration with its lease also compared the address. The lease alone tells whose registration it is.

--- a/balancer/fixture_test.go
+++ b/balancer/fixture_test.go
@@ -32,6 +32,8 @@
 	revision uint64
 	era      uint64
 	down     bool
+	// rewrite, if it is set, is applied to the values that balancers write.
+	rewrite func(string) string
 	// waiting counts the queries that have begun to wait for a change.
 	waiting atomic.Int64
 	// leases counts the leases, which are numbered from 1. Those up to endedLeases have
@@ -112,6 +114,9 @@
 			if err := s.downError(); err != nil {
 				return err
 			}
+			if s.rewrite != nil {
+				value = []byte(s.rewrite(string(value)))
+			}
 			s.set(key, string(value))
 			return nil
 		},
--- a/balancer/registrar.go
+++ b/balancer/registrar.go
@@ -120,6 +120,6 @@
 	if !found {
 		return false
 	}
-	p, r, valid := b.decodePeer(b.settings.Name, item)
-	return valid && p == b.self() && r.Lease == lease
+	_, r, valid := b.decodePeer(b.settings.Name, item)
+	return valid && r.Lease == lease
 }
--- a/balancer/registrar_test.go
+++ b/balancer/registrar_test.go
@@ -1,6 +1,7 @@
 package balancer_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -90,3 +91,17 @@
 	is.True(time.Since(lost) < director.ReregistrationSpread+2*time.Second) // the view's lag
 	n.awaitPeers(t, 1)
 }
+
+// Guards against a registration that is written again at each renewal, since its address was
+// replaced on the way, as by a proxy.
+func TestRegistrationWithAReplacedAddressIsKept(t *testing.T) {
+	is := is.New(t)
+	s := &store{rewrite: func(value string) string { return strings.Replace(value, nodeAddress, "127.0.0.9", 1) }}
+	s.set("op/config", configurationText)
+	n := newNode(t, "n1", s)
+	n.start(t)
+	n.awaitPeers(t, 1)
+	eventually(t, "renewal", func() bool { return s.renewals.Load() == 1 })
+	time.Sleep(500 * time.Millisecond)
+	is.Equal(s.leases.Load(), int64(1))
+}
