spreader: no plan while all zones together are crowded

Full targets reject requests, a rejection looks like an answer, and so the time of a request and with it the demand of a zone came out too low.

Change: while as many requests wait in all zones as there are slots, there is no plan and the rule without one decides, which spreads the excess over all targets. TestCrowdedZonesHaveNoPlan fails before.

--- a/spreader/spreader.go
+++ b/spreader/spreader.go
@@ -148,6 +148,8 @@
 	away []Part
 	// neededAt is when the plan last let flows leave.
 	neededAt time.Time
+	// crowded reports whether there was too little room in all zones together.
+	crowded bool
 	// reports holds the last report of each zone, and when it was the current one.
 	reports map[string]report
 }
@@ -174,7 +176,8 @@
 	zones, own := sanitize(l)
 	p.recall(now, zones)
 	p.estimateTime(elapsed, l.Path, zones)
-	if own < 0 || !zones[own].Reported || p.time == 0 {
+	p.crowded = isCrowded(zones, l.Path, p.crowded)
+	if own < 0 || !zones[own].Reported || p.time == 0 || p.crowded {
 		p.part = 0
 		return Share{}
 	}
@@ -190,6 +193,33 @@
 	return Share{Known: true, Away: scale(p.away, p.part)}
 }
 
+const (
+	// crowdedUse is the number of requests waiting for answers, in relation to all slots,
+	// from which on the zones are crowded. They are until it falls below relievedUse.
+	crowdedUse  = 1.0
+	relievedUse = 0.7
+)
+
+// isCrowded reports whether as many requests wait for answers in all zones together as there
+// are slots. Full targets reject requests then, and a rejection can't be told from an answer,
+// so neither the time per request nor the room of a zone is known.
+//
+// Load pattern: all callers ask for several times as much. Each zone would keep the excess of
+// its own callers, since leaving seems not to pay, and zones would be served unequally.
+func isCrowded(zones []Zone, path time.Duration, before bool) bool {
+	waiting, slots := 0.0, 0.0
+	for _, z := range zones {
+		slots += z.Slots
+		if z.Reported {
+			waiting += max(z.Concurrency-z.Requests*path.Seconds(), 0)
+		}
+	}
+	if before {
+		return waiting > relievedUse*slots
+	}
+	return waiting >= crowdedUse*slots
+}
+
 // recall completes the zones without a report by their last one, if that isn't too old.
 func (p *Planner) recall(now time.Time, zones []Zone) {
 	if p.reports == nil {
--- a/spreader/spreader_test.go
+++ b/spreader/spreader_test.go
@@ -399,3 +399,33 @@
 		}
 	})
 }
+
+// Load pattern: all callers ask for six times as much while operators empty a zone. Without a
+// plan, all zones send what exceeds half of their slots to the targets of any zone, and are
+// served alike. The plan is back when the load is over.
+func TestCrowdedZonesHaveNoPlan(t *testing.T) {
+	is := is.New(t)
+	var planner spreader.Planner
+	update := func(second int, demand float64) spreader.Share {
+		zones := []spreader.Zone{zone("a", demand, 0), zone("b", demand, 40), zone("c", demand, 40)}
+		for i := range zones {
+			// Full targets reject requests at once, so requests take less time than the work.
+			zones[i].Answered = 2 * zones[i].Requests
+			zones[i].Concurrency = min(zones[i].Concurrency, 1.5*slotsPerTarget*40)
+		}
+		return planner.Update(start.Add(time.Duration(second)*time.Second), spreader.Load{Own: "b", Goal: goal, Zones: zones})
+	}
+	for second := range 10 {
+		share := update(second, 24)
+		is.True(share.Known)
+	}
+	for second := range 10 {
+		share := update(10+second, 6*24)
+		is.True(!share.Known)
+	}
+	for second := range 10 {
+		share := update(20+second, 24)
+		is.True(share.Known)
+		is.Equal(share.Home(), 1.0)
+	}
+}
