--- a/replicator/era_test.go
+++ b/replicator/era_test.go
@@ -44,6 +44,50 @@
 	is.Equal(encoded, plain)
 }
 
+// A release that doesn't know the era sends none. Its answers count as long as the store can't
+// have returned.
+func TestAnswersWithoutAnEra(t *testing.T) {
+	is := is.New(t)
+	full := func(era, revision uint64) replicator.Update {
+		return replicator.Update{Era: era, Revision: revision, Full: true, Items: []replicator.Item{writtenItem("a", revision)}}
+	}
+	for _, c := range []struct {
+		eras []uint64
+		want bool
+	}{
+		{eras: nil, want: true},
+		{eras: []uint64{0}, want: true},
+		{eras: []uint64{1}, want: true},
+		{eras: []uint64{2}, want: false},
+		{eras: []uint64{0, 1}, want: false}, // the era of the first content is unknown
+		{eras: []uint64{1, 2}, want: false},
+	} {
+		var r replicator.Replica
+		for i, era := range c.eras {
+			r.Merge(full(era, uint64(10-i)), start)
+		}
+		is.Equal(r.IsOutdated(full(0, 20)), !c.want)
+		is.Equal(len(r.Merge(full(0, 20), start)) > 0, c.want)
+	}
+}
+
+// Changes of a newer era lack the other keys of that era: only a full update is merged.
+func TestChangesOfANewerEraLeadToAFullUpdate(t *testing.T) {
+	is := is.New(t)
+	var r replicator.Replica
+	r.Merge(replicator.Update{Era: 1, Revision: 9, Full: true, Items: []replicator.Item{writtenItem("a", 9)}}, start)
+	is.Equal(len(r.Merge(replicator.Update{Era: 2, Revision: 10, Items: []replicator.Item{writtenItem("b", 10)}}, start)), 0)
+	is.Equal(r.After(), uint64(0))
+	age, _ := r.Age(start.Add(time.Second))
+	is.Equal(age, time.Second) // neither changes of a newer era nor an earlier era confirm anything
+	r.Merge(replicator.Update{Era: 2, Revision: 7, Full: true}, start.Add(time.Second))
+	is.Equal(r.After(), uint64(7))
+	is.Equal(r.Retained(), 1)
+	is.True(r.IsOutdated(replicator.Update{Era: 1, Revision: 12}))
+	is.True(r.Since(r.AfterFor(1, 9), start).Full)
+	is.Equal(len(r.Since(r.AfterFor(3, 2), start).Items), 0)
+}
+
 // fetch answers a watch, or a listing if the store doesn't have the revision.
 func fetch(s *recorder.Store, after uint64) replicator.Update {
 	changes := s.ChangesSince("", after)
