director, spreader: end a plan for other regions once the own one has targets

A plan made while the own region had no target was used until the next one, and faded out at 0.25 a second after that, as any change does. New flows went on to the other region for seconds though the own one had targets that weren't suspect. Such a plan now ends as soon as the region has one, and the planner forgets parts of zones that the flows may no longer go to.

--- a/director/spread.go
+++ b/director/spread.go
@@ -16,6 +16,8 @@
 	share   spreader.Share
 	// zones holds the zones of share.Away.
 	zones []*zoneHealth
+	// abroad reports whether load has zones of other regions.
+	abroad bool
 	// reportedAway is what TakeSpreadChanges last returned, and reportedAt when.
 	reportedAway bool
 	reportedAt   time.Time
@@ -25,6 +27,7 @@
 func (d *Director) updateSpreads(now time.Time) {
 	for service, p := range d.pools {
 		s := &p.spread
+		s.abroad = !d.hasRegionalTarget(now, p)
 		s.load = spreader.Load{Own: d.zone, Goal: d.goals[service], Path: p.path, Zones: d.zoneLoads(now, service, p)}
 		s.share = s.planner.Update(now, s.load)
 		s.zones = s.zones[:0]
@@ -35,14 +38,11 @@
 }
 
 // zoneLoads returns the load of a service in the zones that its flows may go to: those of the
-// own region, or all if that has no target that accepts new flows and isn't suspect.
+// own region, or all if flows may leave it.
 func (d *Director) zoneLoads(now time.Time, service string, p *pool) []spreader.Zone {
-	inRegion := slices.ContainsFunc(p.members, func(m *member) bool {
-		return d.sameRegion(m.AvailabilityZone) && d.acceptsNewFlows(m) && !m.isSuspect(now)
-	})
 	loads := map[string]*spreader.Zone{d.zone: {Name: d.zone}}
 	loadOf := func(zone string) *spreader.Zone {
-		if inRegion && !d.sameRegion(zone) {
+		if !p.spread.abroad && !d.sameRegion(zone) {
 			return nil
 		}
 		if loads[zone] == nil {
@@ -82,5 +82,16 @@
 	return all
 }
 
+// hasRegionalTarget reports whether the own region has a target that accepts new flows and
+// isn't suspect. New flows don't leave the region then.
+func (d *Director) hasRegionalTarget(now time.Time, p *pool) bool {
+	for _, m := range p.members {
+		if d.sameRegion(m.AvailabilityZone) && d.acceptsNewFlows(m) && !m.isSuspect(now) {
+			return true
+		}
+	}
+	return false
+}
+
 // sameRegion reports whether a zone is in the region of the own zone.
 func (d *Director) sameRegion(zone string) bool { return d.regions[zone] == d.regions[d.zone] }
--- a/director/spread_test.go
+++ b/director/spread_test.go
@@ -139,6 +139,23 @@
 	is.True(openingParts(d, now, 5000)["c"] > 0.999)
 }
 
+// Load pattern: a region is taken out and comes back. No new flow leaves the region as soon as
+// it has targets again, neither before the next plan nor by what is left of the earlier one.
+func TestNoFlowLeavesARegionThatIsBack(t *testing.T) {
+	is := is.New(t)
+	d := newDirectorWithZones()
+	d.SetRegions(map[string]string{"a": "west", "b": "west", "c": "east"})
+	d.SetZoneOut("a", true)
+	d.SetZoneOut("b", true)
+	now := applyPicture(d, start, 3, picture(5, 3, 1))
+	is.True(openingParts(d, now, 0)["c"] > 0.999)
+	d.SetZoneOut("a", false)
+	for n := range 4 {
+		is.Equal(openingParts(d, now, 5000*(n+1))["c"], 0.0)
+		now = applyPicture(d, now, 1, picture(3, 3, 1))
+	}
+}
+
 // Explain names the zone and the target that Decide then chooses.
 func TestExplainedPlacement(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/spreader/spreader.go
+++ b/spreader/spreader.go
@@ -23,6 +23,7 @@
 	"cmp"
 	"maps"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -175,6 +176,7 @@
 	p.updatedAt = now
 	zones, own := sanitize(l)
 	p.recall(now, zones)
+	p.forget(zones)
 	p.estimateTime(elapsed, l.Path, zones)
 	p.crowded = isCrowded(zones, l.Path, p.crowded)
 	if own < 0 || !zones[own].Reported || p.time == 0 || p.crowded {
@@ -237,6 +239,27 @@
 	}
 }
 
+// forget ends the parts of zones that the flows may no longer go to, such as those of other
+// regions once the own region has targets again.
+func (p *Planner) forget(zones []Zone) {
+	left := 0.0
+	var away []Part
+	for _, part := range p.away {
+		if slices.ContainsFunc(zones, func(z Zone) bool { return z.Name == part.Zone }) {
+			away = append(away, part)
+			left += part.Part
+		}
+	}
+	if len(away) == len(p.away) {
+		return
+	}
+	p.part *= left
+	p.away = nil
+	if left > 0 {
+		p.away = scale(away, 1/left)
+	}
+}
+
 // approach moves the part that leaves towards the planned one.
 func (p *Planner) approach(now time.Time, wanted, elapsed float64, atOnce bool) {
 	over := now.Sub(p.neededAt) >= endAfter
