explain: say what the limits of cold targets and the admission do to a flow

explain passed over no cold target that had got its share of new flows: it said that an opening would be forwarded where the balancer refuses it. It now tries targets as an opening does, on copies of their pacers, and its line 'cold' says how many were passed over, the rate, and the balancers that share it. The line 'admission' also stands when the load isn't known, and says whether the service turns flows away.

--- a/balancer/explain.go
+++ b/balancer/explain.go
@@ -89,10 +89,19 @@
 		Opening:        outcome(e.Opening),
 		Established:    outcome(e.Established),
 		Zone:           explainPlacement(e.Placement),
+		Cold:           coldLimits(e.Cold),
 		Admission:      admission(e.Admission),
 	}
 }
 
+// coldLimits converts the limits of cold targets to those that are reported.
+func coldLimits(c director.ColdLimits) *explainer.ColdLimits {
+	if !c.Target && c.Passed == 0 {
+		return nil
+	}
+	return &explainer.ColdLimits{Target: c.Target, Passed: c.Passed, Rate: c.Rate, Balancers: c.Balancers}
+}
+
 // admission converts the admission of a flow to the one that is reported.
 func admission(a director.Admission) *explainer.Admission {
 	if !a.Known {
@@ -117,11 +126,11 @@
 // reasonDescriptions holds the texts of Outcome.Why.
 var reasonDescriptions = map[director.Reason]string{
 	director.ReasonFlow:              "the packet's token names this target",
-	director.ReasonOpening:           "this target ranks first for the flow among the targets that accept new flows and are not suspect; targets of this zone come first while they have capacity",
+	director.ReasonOpening:           "this target ranks first for the flow among the targets that accept new flows and are not suspect; targets of the zone named above come first",
 	director.ReasonOpeningRepeated:   "the flow was seen in the last seconds and went to this target",
 	director.ReasonNoRoute:           "no route of the configuration in force has this address, and no newer configuration was accepted since callers first used it",
 	director.ReasonUnknownRoute:      "no route of the configuration in force has this address, but a newer configuration may have one",
-	director.ReasonNoTarget:          "no target of the service accepts new flows",
+	director.ReasonNoTarget:          "no target of the service accepts new flows, or those that do are cold and have got their share of them",
 	director.ReasonUnknownTarget:     "no registered target of the service accepts new flows, but one may just have registered",
 	director.ReasonTargetGone:        "the target that the token names was removed",
 	director.ReasonOpeningRefused:    "the flow was seen in the last seconds, and its target takes no new flows",
--- a/cmd_explain.go
+++ b/cmd_explain.go
@@ -64,9 +64,11 @@
 	if e.Zone != "" {
 		fmt.Fprintf(&b, "zone         %s\n", e.Zone)
 	}
-	if a := e.Admission; a != nil {
-		fmt.Fprintf(&b, "admission    urgency %d, %.0f%% of new flows admitted; %.1f requests wait (bound %.1f), this urgency wants %.1f of room for %.1f\n",
-			a.Urgency, 100*a.Fraction, a.Waiting, a.Bound, a.Wanted, a.Room)
+	if e.NoBuckets && e.Service != "" {
+		fmt.Fprintf(&b, "admission    %s\n", admissionText(e.Admission))
+	}
+	if e.Cold != nil {
+		fmt.Fprintf(&b, "cold         %s\n", coldText(*e.Cold, e.Opening.Target))
 	}
 	fmt.Fprintf(&b, "opening      %s\n", outcomeText(e.Opening))
 	if e.Speed > 0 && e.Speed < 1 {
@@ -76,6 +78,39 @@
 	return b.String()
 }
 
+// admissionText returns how the flow competes for the room of its service.
+func admissionText(a *explainer.Admission) string {
+	if a == nil {
+		return "the load of the service isn't known, so no flow is turned away"
+	}
+	limit := "no flow of the service is turned away"
+	if a.Limited {
+		limit = "some flows of the service are turned away"
+	}
+	return fmt.Sprintf("urgency %d, %.0f%% of new flows admitted; %s; %.1f requests wait (bound %.1f), this urgency wants %.1f of room for %.1f",
+		a.Urgency, 100*a.Fraction, limit, a.Waiting, a.Bound, a.Wanted, a.Room)
+}
+
+// coldText returns what the limits of cold targets do to the flow.
+func coldText(c explainer.ColdLimits, target string) string {
+	rate := "any number of new flows"
+	switch {
+	case c.Rate > 0 && c.Balancers > 0:
+		rate = fmt.Sprintf("%.1f new flows a second from %d balancers together", c.Rate, c.Balancers)
+	case c.Rate > 0:
+		rate = fmt.Sprintf("%.1f new flows a second, and none from here while the number of balancers isn't known", c.Rate)
+	}
+	switch {
+	case c.Target:
+		target += " is cold"
+	case target != "":
+		target += " isn't cold"
+	default:
+		target = "no target accepts the flow"
+	}
+	return fmt.Sprintf("%s; %d cold targets passed over at their limit; each gets %s", target, c.Passed, rate)
+}
+
 // outcomeText returns what the balancer does with a packet, where it sends the
 // packet, and why.
 func outcomeText(o explainer.Outcome) string {
--- a/director/explain.go
+++ b/director/explain.go
@@ -24,14 +24,27 @@
 	Established Decision
 	// Placement says in which zone a new flow of this caller's address and port belongs.
 	Placement Placement
+	// Cold says what the limits of cold targets do to a new flow.
+	Cold ColdLimits
 	// Speed is the speed of the target of Opening; see aggregator.Summary. It is 0 if there
 	// is no target.
 	Speed float64
 }
 
-// Explain returns the decisions on the packets of the flow of p, and changes nothing. It
-// doesn't tell whether a cold target has used up its rate; Decide would pass such a target
-// over.
+// ColdLimits says what the limits of cold targets do to a new flow.
+type ColdLimits struct {
+	// Target reports whether the target of Explanation.Opening is cold. Passed is how many
+	// cold targets rank before it, or before none, and accept no flow now.
+	Target bool
+	Passed int
+	// Rate is how many new flows a second a cold target of the service may get from all
+	// balancers together, 0 if it isn't limited. Balancers is the number that share it,
+	// 0 if it isn't known; cold targets with a limit then get none from here.
+	Rate      float64
+	Balancers int
+}
+
+// Explain returns the decisions on the packets of the flow of p, and changes nothing.
 func (d *Director) Explain(now time.Time, p *Packet) Explanation {
 	if !d.configured {
 		refusal := Decision{Action: Drop, Reason: ReasonNoView}
@@ -43,7 +56,7 @@
 	route, routed := d.routes[p.Destination]
 	if routed {
 		e.Route, e.Service = route.Name, pickService(key, route.Backends)
-		e.Opening = d.explainOpening(now, key, f, e.Service)
+		e.Opening, e.Cold = d.explainOpening(now, key, f, e.Service)
 		e.Placement = d.explainPlacement(now, key, e.Service)
 		var admitted bool
 		class := classOf(key, route)
@@ -82,25 +95,53 @@
 }
 
 // explainOpening returns the decision on an opening packet of the flow with this key.
-func (d *Director) explainOpening(now time.Time, key uint64, f *flow, service string) Decision {
+func (d *Director) explainOpening(now time.Time, key uint64, f *flow, service string) (Decision, ColdLimits) {
+	limits := ColdLimits{Rate: d.services[service].ColdRate}
+	if !d.fleetUnknown {
+		limits.Balancers = d.balancers
+	}
 	if f != nil {
 		for _, token := range [...]tokenizer.Token{f.pinned, f.openingToken} {
 			if m, ok := d.registered(now, token); ok {
-				return d.forwardOpening(m, ReasonOpeningRepeated)
+				limits.Target = now.Before(m.coldUntil)
+				return d.forwardOpening(m, ReasonOpeningRepeated), limits
 			}
 		}
 	}
 	if p := d.pools[service]; p != nil {
 		m := d.chooseLocal(now, key, p)
 		if m == nil {
-			m = d.bestRanked(now, key, p, nil)
+			m, limits.Passed = d.explainRanked(now, key, p)
 		}
 		if m != nil {
-			return d.forwardOpening(m, ReasonOpening)
+			limits.Target = now.Before(m.coldUntil)
+			return d.forwardOpening(m, ReasonOpening), limits
 		}
 	}
 	since, sought := d.absentTargets.sought(service)
-	return refuse(sought && d.isAbsent(now, since), ReasonNoTarget, ReasonUnknownTarget)
+	certain := d.hasOpenTarget(service) || sought && d.isAbsent(now, since)
+	return refuse(certain, ReasonNoTarget, ReasonUnknownTarget), limits
+}
+
+// explainRanked returns the highest-ranked target of any zone that accepts a new flow now, or
+// nil, and how many cold targets that don't were tried before. It counts no flow.
+func (d *Director) explainRanked(now time.Time, key uint64, p *pool) (*member, int) {
+	var tried []*member
+	cold := 0
+	for len(tried) < maxColdTries {
+		m := d.bestRanked(now, key, p, tried)
+		if m == nil {
+			break
+		}
+		if probe := *m; d.admitOpening(now, &probe) {
+			return m, cold
+		}
+		tried = append(tried, m)
+		if now.Before(m.coldUntil) {
+			cold++
+		}
+	}
+	return nil, cold
 }
 
 // HealthSummary lists the targets and availability zones that get no new flows or get them
--- a/director/explain_test.go
+++ b/director/explain_test.go
@@ -57,3 +57,28 @@
 	d.SetConfirmed(now.Add(time.Second))
 	is.Equal(d.Explain(now.Add(time.Second), unknown).Opening.Reason, director.ReasonNoRoute)
 }
+
+// Guards against an explanation that names a cold target which has got its share of new flows.
+func TestExplainAppliesColdLimits(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := newDirector(rapid.IntRange(0, 1).Draw(t, "ready"))
+		for id := range rapid.IntRange(1, 10).Draw(t, "cold") {
+			cold := target(10 + id)
+			cold.ColdFor = time.Minute
+			d.SetTarget(start, cold)
+		}
+		d.SetZoneOut("b", rapid.Bool().Draw(t, "out"))
+		now := start
+		for n := range 40 {
+			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "ms")) * time.Millisecond)
+			e := d.Explain(now, opening(n, 0))
+			got := d.Decide(now, opening(n, 0))
+			if e.Opening.Action != got.Action || e.Opening.Reason != got.Reason || e.Opening.Token != got.Token {
+				t.Fatalf("explained %+v, decided %+v", e.Opening, got)
+			}
+			if e.Cold.Rate != 4 || e.Cold.Balancers != 1 || e.Cold.Target != (got.Target != nil && got.Target.ColdFor > 0) {
+				t.Fatalf("limits %+v, decided %+v", e.Cold, got)
+			}
+		}
+	})
+}
--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -144,10 +144,24 @@
 	// Zone says in which availability zone the flow belongs when it is opened. It is empty
 	// on balancers that don't decide by zones.
 	Zone string `json:"zone,omitempty"`
+	// Cold is nil unless a cold target was weighed.
+	Cold *ColdLimits `json:"cold,omitempty"`
 	// Admission is nil unless the load of the service is known.
 	Admission *Admission `json:"admission,omitempty"`
 }
 
+// ColdLimits describes what the limits of cold targets do to a new flow.
+type ColdLimits struct {
+	// Target is set if Opening's target is cold. Passed is how many cold targets were passed
+	// over, since each has got its share of new flows.
+	Target bool `json:"target"`
+	Passed int  `json:"passed"`
+	// Rate is how many new flows a second a cold target may get from all balancers, 0 if it
+	// isn't limited. Balancers is the number of balancers that share it, 0 if it isn't known.
+	Rate      float64 `json:"rate"`
+	Balancers int     `json:"balancers"`
+}
+
 // Admission describes how a new flow competes for the room of its service. All numbers but
 // Urgency and Fraction are requests at a time.
 type Admission struct {
