director: check the region of a planned zone when a flow is opened

A plan was marked as one for other regions when it was made, so it held for what the regions were then. The region of the planned zone is now looked up for each flow that leaves, which needs no mark. Regions change only with a restart today.

--- a/director/locality.go
+++ b/director/locality.go
@@ -99,15 +99,15 @@
 	return best
 }
 
-// zoneFor returns the zone that a flow goes to, or nil if it may go to any. A plan that was made
-// while flows could leave the region ends as soon as the region has targets again.
+// zoneFor returns the zone that a flow goes to, or nil if it may go to any. The plan may be older
+// than the regions and targets: no flow leaves the region by it while the region has targets.
 func (d *Director) zoneFor(now time.Time, key uint64, p *pool) *zoneHealth {
 	position := unitInterval(hashPair(key, localitySalt))
 	if s := &p.spread; s.share.Known {
-		if s.abroad && d.hasRegionalTarget(now, p) {
-			return nil
-		}
 		if i := s.share.Index(position); i >= 0 {
+			if !d.sameRegion(s.share.Away[i].Zone) && d.hasRegionalTarget(now, p) {
+				return nil
+			}
 			return s.zones[i]
 		}
 		return d.ownZone
--- a/director/spread.go
+++ b/director/spread.go
@@ -16,8 +16,6 @@
 	share   spreader.Share
 	// zones holds the zones of share.Away.
 	zones []*zoneHealth
-	// abroad reports whether load has zones of other regions.
-	abroad bool
 	// reportedAway is what TakeSpreadChanges last returned, and reportedAt when.
 	reportedAway bool
 	reportedAt   time.Time
@@ -27,7 +25,6 @@
 func (d *Director) updateSpreads(now time.Time) {
 	for service, p := range d.pools {
 		s := &p.spread
-		s.abroad = !d.hasRegionalTarget(now, p)
 		s.load = spreader.Load{Own: d.zone, Goal: d.goals[service], Path: p.path, Zones: d.zoneLoads(now, service, p)}
 		s.share = s.planner.Update(now, s.load)
 		s.zones = s.zones[:0]
@@ -40,9 +37,10 @@
 // zoneLoads returns the load of a service in the zones that its flows may go to: those of the
 // own region, or all if flows may leave it.
 func (d *Director) zoneLoads(now time.Time, service string, p *pool) []spreader.Zone {
+	inRegion := d.hasRegionalTarget(now, p)
 	loads := map[string]*spreader.Zone{d.zone: {Name: d.zone}}
 	loadOf := func(zone string) *spreader.Zone {
-		if !p.spread.abroad && !d.sameRegion(zone) {
+		if inRegion && !d.sameRegion(zone) {
 			return nil
 		}
 		if loads[zone] == nil {
