director, balancer: tell the end of a plan from its return home

When the plan of a service ended because all zones were crowded, or without reports, the log said that the service kept its new flows in the zone again, while the balancer sent them away by what it saw itself. The line is another one now, and explain names the crowding. Zones without slots in which nothing waits don't count as crowded any more; the decision for them is the same.

TestEndOfThePlanIsToldFromItsReturn and TestZonesWithoutSlotsAreNotCrowded need the new fields, so they don't build before.

--- a/balancer/spread.go
+++ b/balancer/spread.go
@@ -12,9 +12,13 @@
 // their gauges. Balancer.mu must be held.
 func (b *Balancer) reportSpreads(now time.Time) {
 	for _, c := range b.director.TakeSpreadChanges(now) {
-		if len(c.Away) == 0 {
+		switch {
+		case len(c.Away) == 0 && c.Planned:
 			b.log.Info("service keeps its new flows in the zone again", "service", c.Service)
 			continue
+		case len(c.Away) == 0:
+			b.log.Info("service has no plan for zones any more", "service", c.Service, "crowded", c.Crowded)
+			continue
 		}
 		parts := make(map[string]float64, len(c.Away))
 		sum := 0.0
@@ -48,8 +52,11 @@
 // explainPlacement describes the zone of a flow in words.
 func explainPlacement(p director.Placement) string {
 	rule := "by the demand that this balancer sees"
-	if p.Planned {
+	switch {
+	case p.Planned:
 		rule = "by the plan for all zones"
+	case p.Crowded:
+		rule += ", since too many requests wait in all zones for a plan"
 	}
 	switch p.Reason {
 	case director.PlacementHome:
--- a/director/placement.go
+++ b/director/placement.go
@@ -62,8 +62,12 @@
 // SpreadChange says that a service began or ended to send new flows away from the own zone.
 type SpreadChange struct {
 	Service string
-	// Away holds the parts that go to other zones; it is empty if the service ended.
-	Away []spreader.Part
+	// Away holds the parts that go to other zones; it is empty if the service ended. Planned
+	// reports whether there is a plan still, and Crowded whether there is none because too
+	// many requests wait in all zones.
+	Away    []spreader.Part
+	Planned bool
+	Crowded bool
 }
 
 // TakeSpreadChanges returns the services that began or ended to send flows away by their
@@ -75,7 +79,9 @@
 		away := len(s.share.Away) > 0
 		if away != s.reportedAway && now.Sub(s.reportedAt) >= minReportInterval {
 			s.reportedAway, s.reportedAt = away, now
-			changes = append(changes, SpreadChange{Service: service, Away: slices.Clone(s.share.Away)})
+			changes = append(changes, SpreadChange{
+				Service: service, Away: slices.Clone(s.share.Away), Planned: s.share.Known, Crowded: s.planner.Crowded(),
+			})
 		}
 	}
 	slices.SortFunc(changes, func(a, b SpreadChange) int { return cmp.Compare(a.Service, b.Service) })
@@ -95,11 +101,12 @@
 
 // Placement says in which zone a new flow belongs, and why. The zone is empty if the flow may
 // go to any. Home is the part of the service's new flows that stays in the own zone, from 0
-// to 1.
+// to 1. Crowded reports whether there is no plan because too many requests wait in all zones.
 type Placement struct {
 	Zone    string
 	Reason  PlacementReason
 	Planned bool
+	Crowded bool
 	Home    float64
 }
 
@@ -109,7 +116,7 @@
 	if p == nil {
 		return Placement{Reason: PlacementUnready}
 	}
-	placement := Placement{Planned: p.spread.share.Known, Home: d.localShare(now, p)}
+	placement := Placement{Planned: p.spread.share.Known, Crowded: p.spread.planner.Crowded(), Home: d.localShare(now, p)}
 	zone := d.zoneFor(now, key, p)
 	switch {
 	case zone == nil:
--- a/director/spread_test.go
+++ b/director/spread_test.go
@@ -98,6 +98,21 @@
 	is.Equal(len(changes[0].Away), 0)
 }
 
+// Load pattern: requests begin to wait in all zones while one sends flows away. The end of the
+// plan doesn't pass for flows that stay.
+func TestEndOfThePlanIsToldFromItsReturn(t *testing.T) {
+	is := is.New(t)
+	d := newDirectorWithZones()
+	now := applyPicture(d, start, 6, picture(14, 3, 3))
+	is.Equal(len(d.TakeSpreadChanges(now)), 1)
+	now = applyPicture(d, now, 12, picture(30, 15, 15))
+	changes := d.TakeSpreadChanges(now)
+	is.Equal(len(changes), 1)
+	is.Equal(len(changes[0].Away), 0)
+	is.True(!changes[0].Planned && changes[0].Crowded)
+	is.True(d.Explain(now, opening(1, 0)).Placement.Crowded)
+}
+
 // The planned zone is taken out, or its targets leave, after the plan was made.
 func TestPlannedZoneThatIsGone(t *testing.T) {
 	is := is.New(t)
--- a/spreader/spreader.go
+++ b/spreader/spreader.go
@@ -166,6 +166,10 @@
 	return time.Duration(p.time * float64(time.Second))
 }
 
+// Crowded reports whether there is no plan because as many requests wait in all zones together
+// as there are slots.
+func (p *Planner) Crowded() bool { return p.crowded }
+
 // Update returns the decision for the load. It must be called about once a second.
 func (p *Planner) Update(now time.Time, l Load) Share {
 	first := p.updatedAt.IsZero()
@@ -219,7 +223,7 @@
 	if before {
 		return waiting > relievedUse*slots
 	}
-	return waiting >= crowdedUse*slots
+	return waiting > 0 && waiting >= crowdedUse*slots
 }
 
 // recall completes the zones without a report by their last one, if that isn't too old.
--- a/spreader/spreader_test.go
+++ b/spreader/spreader_test.go
@@ -429,3 +429,16 @@
 		is.Equal(share.Home(), 1.0)
 	}
 }
+
+// Zones without slots, such as those of a service whose targets are all cold, aren't crowded
+// while no request waits.
+func TestZonesWithoutSlotsAreNotCrowded(t *testing.T) {
+	is := is.New(t)
+	var planner spreader.Planner
+	zones := []spreader.Zone{zone("a", 0, 0), zone("b", 0, 0)}
+	planner.Update(start, spreader.Load{Own: "a", Goal: goal, Zones: zones})
+	is.True(!planner.Crowded())
+	zones[0].Concurrency = 1
+	planner.Update(start.Add(time.Second), spreader.Load{Own: "a", Goal: goal, Zones: zones})
+	is.True(planner.Crowded())
+}
