--- a/director/explain.go
+++ b/director/explain.go
@@ -26,8 +26,8 @@
 	Placement Placement
 	// Cold says what the limits of cold targets do to a new flow.
 	Cold ColdLimits
-	// Speed is the speed of the target of Opening; see aggregator.Summary. It is 0 if there
-	// is no target.
+	// Speed is the speed of the target of Opening, or of the highest-ranked target if all were
+	// passed over; see aggregator.Summary. It is 0 if there is neither.
 	Speed float64
 }
 
@@ -69,11 +69,7 @@
 		e.Opening = refuse(sought && d.isAbsent(now, since), ReasonNoRoute, ReasonUnknownRoute)
 	}
 	token := e.Opening.Token
-	if e.Opening.Target != nil {
-		if m := d.byName[e.Opening.Target.Name]; m != nil {
-			e.Speed = m.speed()
-		}
-	}
+	e.Speed = d.explainSpeed(now, key, &e)
 	if f != nil && f.pinned != 0 {
 		token = f.pinned
 	}
@@ -94,6 +90,21 @@
 	return e
 }
 
+// explainSpeed returns Explanation.Speed.
+func (d *Director) explainSpeed(now time.Time, key uint64, e *Explanation) float64 {
+	var m *member
+	switch {
+	case e.Opening.Target != nil:
+		m = d.byName[e.Opening.Target.Name]
+	case e.Cold.Passed > 0:
+		m = d.bestRanked(now, key, d.pools[e.Service], nil)
+	}
+	if m == nil {
+		return 0
+	}
+	return m.speed()
+}
+
 // explainOpening returns the decision on an opening packet of the flow with this key.
 func (d *Director) explainOpening(now time.Time, key uint64, f *flow, service string) (Decision, ColdLimits) {
 	limits := ColdLimits{Rate: d.services[service].ColdRate}
