explain: name the part of the caller's own flows that is admitted

A caller that opens many more flows than others is turned away more often than its class, and explain named only the part of the class, so its answer 'turned away' could contradict the part that it named.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -176,11 +176,18 @@
 
 // Admits returns what Admit would return, and counts nothing.
 func (a *Admitter) Admits(now time.Time, name aggregator.Class, caller netip.Addr, hash uint64) bool {
+	fraction := a.CallerFraction(now, name, caller)
+	return fraction >= 1 || draw(hash) < fraction
+}
+
+// CallerFraction returns the part of a caller's new flows that is admitted, from 0 to 1. It is
+// less than that of the class for a caller that opens many more flows than others.
+func (a *Admitter) CallerFraction(now time.Time, name aggregator.Class, caller netip.Addr) float64 {
 	c, s := a.classes[name], a.services[name.Service]
 	if c == nil || s == nil || !s.limited || c.fraction >= 1 || now.Sub(s.observedAt) >= maxObservationAge {
-		return true
+		return 1
 	}
-	return draw(hash) < c.callers.fraction(caller, c.fraction)
+	return c.callers.fraction(caller, c.fraction)
 }
 
 // State returns the state of a class, and whether its service has been observed lately.
--- a/admitter/admitter_test.go
+++ b/admitter/admitter_test.go
@@ -309,6 +309,9 @@
 	is.True((others+flooding)/all >= 0.8*state.Fraction) // the class gets its part
 	is.True(flooding/500 < 0.1)
 	is.True(others/500 >= 1.5*state.Fraction)
+	now := start.Add(10 * time.Second)
+	is.True(a.CallerFraction(now, class, address(100)) < 0.1)
+	is.True(a.CallerFraction(now, class, address(1)) > state.Fraction)
 }
 
 // The observations end in the middle of an overload. All is admitted a few seconds later.
--- a/balancer/explain.go
+++ b/balancer/explain.go
@@ -108,7 +108,7 @@
 		return nil
 	}
 	return &explainer.Admission{
-		Urgency: a.Urgency, Limited: a.Limited, Fraction: a.Fraction,
+		Urgency: a.Urgency, Limited: a.Limited, Fraction: a.Fraction, CallerFraction: a.CallerFraction,
 		Waiting: a.Waiting, Bound: a.Bound, Wanted: a.Wanted, Room: a.Room,
 	}
 }
--- a/cmd_explain.go
+++ b/cmd_explain.go
@@ -87,8 +87,8 @@
 	if a.Limited {
 		limit = "some flows of the service are turned away"
 	}
-	return fmt.Sprintf("urgency %d, %.0f%% of new flows admitted; %s; %.1f requests wait (bound %.1f), this urgency wants %.1f of room for %.1f",
-		a.Urgency, 100*a.Fraction, limit, a.Waiting, a.Bound, a.Wanted, a.Room)
+	return fmt.Sprintf("urgency %d, %.0f%% of new flows admitted, %.0f%% of this caller's; %s; %.1f requests wait (bound %.1f), this urgency wants %.1f of room for %.1f",
+		a.Urgency, 100*a.Fraction, 100*a.CallerFraction, limit, a.Waiting, a.Bound, a.Wanted, a.Room)
 }
 
 // coldText returns what the limits of cold targets do to the flow.
--- a/director/admission.go
+++ b/director/admission.go
@@ -46,11 +46,14 @@
 	// if it is.
 	Known bool
 	admitter.State
+	// CallerFraction is the part of the caller's new flows that is admitted, from 0 to 1.
+	CallerFraction float64
 }
 
 // explainAdmission returns how a new flow competes, and whether it is admitted.
 func (d *Director) explainAdmission(now time.Time, key uint64, p *Packet, class aggregator.Class) (Admission, bool) {
 	state, known := d.load.admitter.State(now, class)
 	admitted := d.load.admitter.Admits(now, class, p.Source.Addr(), hashPair(key, admissionSalt))
-	return Admission{Urgency: class.Urgency, Known: known, State: state}, admitted || !d.hasOpenTarget(class.Service)
+	fraction := d.load.admitter.CallerFraction(now, class, p.Source.Addr())
+	return Admission{Urgency: class.Urgency, Known: known, State: state, CallerFraction: fraction}, admitted || !d.hasOpenTarget(class.Service)
 }
--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -163,7 +163,7 @@
 }
 
 // Admission describes how a new flow competes for the room of its service. All numbers but
-// Urgency and Fraction are requests at a time.
+// Urgency and the fractions are requests at a time.
 type Admission struct {
 	// Urgency is the rank of the flow's route; 0 is the most urgent.
 	Urgency int `json:"urgency"`
@@ -171,6 +171,8 @@
 	// of the new flows with this urgency that is admitted, from 0 to 1.
 	Limited  bool    `json:"limited"`
 	Fraction float64 `json:"fraction"`
+	// CallerFraction is the part of this caller's new flows that is admitted, from 0 to 1.
+	CallerFraction float64 `json:"caller-fraction"`
 	// Waiting is how many requests wait for answers, and Bound the number above which
 	// flows begin to be turned away.
 	Waiting float64 `json:"waiting"`
--- a/test/explain_test.go
+++ b/test/explain_test.go
@@ -65,7 +65,7 @@
 // Guards the text of explain for a flow that is turned away, one to a slow target, and one that
 // only cold targets could get.
 func TestTextOfExplain(t *testing.T) {
-	admission := explainer.Admission{Urgency: 1, Limited: true, Fraction: 0.62, Waiting: 51.3, Bound: 40, Wanted: 60.5, Room: 42}
+	admission := explainer.Admission{Urgency: 1, Limited: true, Fraction: 0.62, CallerFraction: 0.2, Waiting: 51.3, Bound: 40, Wanted: 60.5, Room: 42}
 	base := explainer.Explanation{
 		Balancer: "front-a-1", ActiveRevision: 8, Service: "desk", NoBuckets: true,
 		Zone:        "b: 0.71 of new flows stay in this zone by the plan for all zones, and this one goes to another",
@@ -79,7 +79,7 @@
 		},
 		"slow": func(e *explainer.Explanation) {
 			e.Speed = 0.2
-			e.Admission = &explainer.Admission{Fraction: 1, Waiting: 12, Bound: 40, Wanted: 9, Room: 42}
+			e.Admission = &explainer.Admission{Fraction: 1, CallerFraction: 1, Waiting: 12, Bound: 40, Wanted: 9, Room: 42}
 		},
 		"cold": func(e *explainer.Explanation) {
 			e.Zone = "any: no target of the flow's zone is ready"
