--- a/spreader/spreader.go
+++ b/spreader/spreader.go
@@ -23,6 +23,7 @@
 	"cmp"
 	"maps"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -165,6 +166,10 @@
 	return time.Duration(p.time * float64(time.Second))
 }
 
+// Crowded reports whether there is no plan because as many requests wait in all zones together
+// as there are slots.
+func (p *Planner) Crowded() bool { return p.crowded }
+
 // Update returns the decision for the load. It must be called about once a second.
 func (p *Planner) Update(now time.Time, l Load) Share {
 	first := p.updatedAt.IsZero()
@@ -175,6 +180,7 @@
 	p.updatedAt = now
 	zones, own := sanitize(l)
 	p.recall(now, zones)
+	p.forget(zones)
 	p.estimateTime(elapsed, l.Path, zones)
 	p.crowded = isCrowded(zones, l.Path, p.crowded)
 	if own < 0 || !zones[own].Reported || p.time == 0 || p.crowded {
@@ -217,7 +223,7 @@
 	if before {
 		return waiting > relievedUse*slots
 	}
-	return waiting >= crowdedUse*slots
+	return waiting > 0 && waiting >= crowdedUse*slots
 }
 
 // recall completes the zones without a report by their last one, if that isn't too old.
@@ -237,6 +243,27 @@
 	}
 }
 
+// forget ends the parts of zones that the flows may no longer go to, such as those of other
+// regions once the own region has targets again.
+func (p *Planner) forget(zones []Zone) {
+	left := 0.0
+	var away []Part
+	for _, part := range p.away {
+		if slices.ContainsFunc(zones, func(z Zone) bool { return z.Name == part.Zone }) {
+			away = append(away, part)
+			left += part.Part
+		}
+	}
+	if len(away) == len(p.away) {
+		return
+	}
+	p.part *= left
+	p.away = nil
+	if left > 0 {
+		p.away = scale(away, 1/left)
+	}
+}
+
 // approach moves the part that leaves towards the planned one.
 func (p *Planner) approach(now time.Time, wanted, elapsed float64, atOnce bool) {
 	over := now.Sub(p.neededAt) >= endAfter
