director: reset each copy of an opening that was turned away

Cause: a later copy of a turned-away opening was forwarded, in case the reset of the first was lost. If that reset was only late, it ended the flow that the copy had opened. Change: the copy is reset as well. No copy reaches a target, since other balancers drop copies whose first one they don't know. The random histories of openings learn balancers that turn flows away, ports that were used before, full tables and first copies that come twice. They fail before: 'copy 1 of an opening that was reset reached a target'.

TestOnlyFirstCopiesAreTurnedAway stated the old decision on later copies. Its successor requires a reset for each of them.

--- a/director/admission_test.go
+++ b/director/admission_test.go
@@ -37,9 +37,10 @@
 	return d, offer(d, now, 8, 9000, 0.75, 90)
 }
 
-// Flows that there is no room for are reset at their first packet, and only then: the reset may
-// be lost, and a copy may come late.
-func TestOnlyFirstCopiesAreTurnedAway(t *testing.T) {
+// Flows that there is no room for are reset at their first packet, and so is each copy that
+// follows: the reset of the first one may be on its way, so the flow must not open any more. A
+// copy whose first one isn't known is never reset.
+func TestOnlyFlowsAreTurnedAwayWhoseFirstCopyCame(t *testing.T) {
 	is := is.New(t)
 	d, now := newOverloadedDirector()
 	is.Equal(d.HealthSummary(now).LimitedServices, []string{"desk"})
@@ -56,8 +57,8 @@
 		is.Equal(first.Action, director.Reset)
 		is.Equal(first.Reason, director.ReasonTurnedAway)
 		is.Equal(d.Decide(now, opening(n, 0)), first)
-		is.Equal(d.Decide(now, opening(n, 1)).Reason, director.ReasonOpening)
-		is.Equal(d.Decide(now, opening(n, 0)).Reason, director.ReasonOpeningRepeated)
+		is.Equal(d.Decide(now, opening(n, 1)), first)
+		is.Equal(d.Decide(now, opening(n, 2)), first)
 	}
 	is.True(turnedAway > 500)
 	is.True(turnedAway < 950)
--- a/director/opening_test.go
+++ b/director/opening_test.go
@@ -1,6 +1,7 @@
 package director_test
 
 import (
+	"net/netip"
 	"slices"
 	"testing"
 	"time"
@@ -138,10 +139,12 @@
 // that a changing hash picks.
 type flowHistory struct {
 	t         *rapid.T
+	source    netip.AddrPort
 	now       time.Duration
 	events    []flowEvent
 	directors []*director.Director
 	power     powerLoss
+	admission admissionHistory
 	// answers holds the number of answers that each target has sent to an opening packet
 	// of the flow, echoes the token that it echoes.
 	answers map[string]int
@@ -166,7 +169,7 @@
 )
 
 func newFlowHistory(t *rapid.T) *flowHistory {
-	h := &flowHistory{t: t, answers: make(map[string]int), echoes: make(map[string]tokenizer.Token)}
+	h := &flowHistory{t: t, source: caller(rapid.IntRange(1, 50).Draw(t, "caller")), answers: make(map[string]int), echoes: make(map[string]tokenizer.Token)}
 	for range rapid.IntRange(1, 4).Draw(t, "balancers") {
 		h.directors = append(h.directors, h.newDirector())
 	}
@@ -186,6 +189,7 @@
 			d.SetTarget(start, changed)
 		}
 	}
+	h.limitAdmission(d)
 	return d
 }
 
@@ -208,7 +212,7 @@
 	for n, at := range []time.Duration{0, 200, 600} {
 		h.after(at*time.Millisecond, func() {
 			if h.owner == "" && !h.ended {
-				h.send(&director.Packet{Source: caller(1), Destination: board, Opening: true, Sequence: callerISN, Retransmissions: uint32(n)})
+				h.send(&director.Packet{Source: h.source, Destination: board, Opening: true, Sequence: callerISN, Retransmissions: uint32(n)})
 			}
 		})
 	}
@@ -253,7 +257,7 @@
 
 func (h *flowHistory) callerPacket(offset uint32, payload []byte) *director.Packet {
 	return &director.Packet{
-		Source: caller(1), Destination: board, Token: h.echo, Data: payload,
+		Source: h.source, Destination: board, Token: h.echo, Data: payload,
 		Sequence: callerISN + offset, Acknowledged: targetISN + 1,
 	}
 }
@@ -266,6 +270,7 @@
 func (h *flowHistory) decide(d *director.Director, p *director.Packet) {
 	decision := d.Decide(start.Add(h.now), p)
 	d.TakeChecks()
+	h.checkAdmission(d, p, decision)
 	switch {
 	case decision.Action == director.Reset && p.Opening:
 		h.deliver("reset", func() {
