balancer: limit the log lines of turned-away flows on their own

Cause: under overload, the lines of turned-away flows used up the 40 lines a second for failures, so that lines of other failures were left out. Change: they have a limit of 10 a second. The counter by urgency counts the first copy of a flow only, since later copies are reset too.

--- a/balancer/packets.go
+++ b/balancer/packets.go
@@ -16,9 +16,10 @@
 // Limits on the log lines per second of one balancer. Each kind of line has its own limit,
 // so that routine lines can't use up the limit for failures.
 const (
-	failureLinesPerSecond = 40
-	openingLinesPerSecond = 20
-	requestLinesPerSecond = 40
+	failureLinesPerSecond    = 40
+	turnedAwayLinesPerSecond = 10
+	openingLinesPerSecond    = 20
+	requestLinesPerSecond    = 40
 )
 
 // resetBufferBytes is the initial capacity of a buffer for one reset.
@@ -32,14 +33,15 @@
 
 // packetLoop reads, decides on and forwards packets in batches. It owns their buffers.
 type packetLoop struct {
-	balancer       *Balancer
-	reader         *batcher.Reader
-	writer         *batcher.Writer
-	packets        [batcher.MaxDatagrams]director.Packet
-	resetBuffers   [batcher.MaxDatagrams][resetBufferBytes]byte
-	failureLimiter *logger.Limiter
-	openingLimiter *logger.Limiter
-	requestLimiter *logger.Limiter
+	balancer          *Balancer
+	reader            *batcher.Reader
+	writer            *batcher.Writer
+	packets           [batcher.MaxDatagrams]director.Packet
+	resetBuffers      [batcher.MaxDatagrams][resetBufferBytes]byte
+	failureLimiter    *logger.Limiter
+	turnedAwayLimiter *logger.Limiter
+	openingLimiter    *logger.Limiter
+	requestLimiter    *logger.Limiter
 }
 
 // maxFirstViewWait limits how long packets wait in the socket for the first view.
@@ -67,12 +69,13 @@
 	})
 	defer stop()
 	l := &packetLoop{
-		balancer:       b,
-		reader:         batcher.NewReader(conn),
-		writer:         batcher.NewWriter(conn),
-		failureLimiter: logger.NewLimiter(failureLinesPerSecond),
-		openingLimiter: logger.NewLimiter(openingLinesPerSecond),
-		requestLimiter: logger.NewLimiter(requestLinesPerSecond),
+		balancer:          b,
+		reader:            batcher.NewReader(conn),
+		writer:            batcher.NewWriter(conn),
+		failureLimiter:    logger.NewLimiter(failureLinesPerSecond),
+		turnedAwayLimiter: logger.NewLimiter(turnedAwayLinesPerSecond),
+		openingLimiter:    logger.NewLimiter(openingLinesPerSecond),
+		requestLimiter:    logger.NewLimiter(requestLinesPerSecond),
 	}
 	for {
 		n, err := l.reader.Read()
@@ -136,7 +139,7 @@
 func (l *packetLoop) execute(now time.Time, i int, packet *director.Packet, d director.Decision) {
 	b := l.balancer
 	b.metrics.countDecision(d)
-	if d.Reason == director.ReasonTurnedAway {
+	if d.Reason == director.ReasonTurnedAway && packet.Retransmissions == 0 {
 		b.metrics.countTurnedAway(d.Urgency)
 	}
 	switch d.Action {
@@ -158,6 +161,8 @@
 	switch {
 	case d.Reason == director.ReasonOpening:
 		limiter, message = l.openingLimiter, "flow opened"
+	case d.Reason == director.ReasonTurnedAway:
+		limiter, message = l.turnedAwayLimiter, "packet not routine"
 	case d.Reason != director.ReasonFlow:
 		limiter, message = l.failureLimiter, "packet not routine"
 	case len(packet.Data) > 0:
