aggregator: a Summary counts until the next one surely arrives

A zone's load was lost and known again within a second. A Summary is up to 1.4 s old when another zone's reader asks for it, that reader hands it on until its next round, and balancers ask for it every 0.95 to 1.5 s: up to 3.9 s without any failure, but a Summary counted for 3 s. It now counts for 5 s, which also covers one failed request between readers.

--- a/aggregator/atlas.go
+++ b/aggregator/atlas.go
@@ -6,9 +6,10 @@
 )
 
 const (
-	// SummaryTTL is how long after it was combined a Summary counts. It reaches each balancer
-	// of another zone within 2 s while nothing fails.
-	SummaryTTL = 3 * time.Second
+	// SummaryTTL is how long after it was combined a Summary counts. It is up to 1.4 s old when a
+	// reader of another zone asks for it, which asks again after 1 s, or 2 s if a request fails.
+	// Balancers of that zone ask their reader again after up to 1.5 s.
+	SummaryTTL = 5 * time.Second
 	// maxZones limits the zones of a Picture.
 	maxZones = 64
 	// distanceTTL is how long a measured round-trip time counts. Waits at a busy reader or
