balancer: ask a zone's next reader if the first has no load

A balancer that has just started is a reader of its zone by the peers' order before it knows the zone's load. Each other reader asks always the same one of a zone's readers, so it got nothing for as long, and after a failed request it waited for the next round. It now asks the next reader in the same round. The new test failed before with the zone unknown for 10 s.

--- a/balancer/load_test.go
+++ b/balancer/load_test.go
@@ -5,8 +5,10 @@
 	"fmt"
 	"log/slog"
 	"net/http"
+	"net/http/httptest"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -117,3 +119,29 @@
 	}
 	is.True(n.log.contains(`"msg":"load report dropped"`))
 }
+
+// A reader that has just started has no load of its zone yet. The zone's other reader is asked in
+// the same round.
+func TestNextReaderIsAskedIfOneHasNoLoad(t *testing.T) {
+	s := &store{}
+	s.set("op/config", configurationText)
+	var first atomic.Pointer[string]
+	known, err := aggregator.Answer{Summary: &aggregator.Summary{AvailabilityZone: "b", Balancers: 2}}.Encode()
+	is.New(t).NoErr(err)
+	unknown, err := aggregator.Answer{}.Encode()
+	is.New(t).NoErr(err)
+	for _, name := range []string{"b-1", "b-2"} {
+		reader := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			answer := known
+			if first.CompareAndSwap(nil, &name) || *first.Load() == name {
+				answer = unknown
+			}
+			_, _ = w.Write(answer)
+		}))
+		t.Cleanup(reader.Close)
+		s.set("trefoilspring/balancers/"+name, fmt.Sprintf(`{"availability-zone":"b","address":%q,"strength":0}`, reader.Listener.Addr()))
+	}
+	n := newNode(t, "a-1", s)
+	n.start(t)
+	n.awaitMetric(t, "trefoilspring_load_zones 2")
+}
--- a/balancer/loadreaders.go
+++ b/balancer/loadreaders.go
@@ -27,20 +27,25 @@
 )
 
 // askReaders asks the other readers of the own zone for their halves, and a reader of each other
-// zone for the zone's Summary.
+// zone for the zone's Summary. If that reader has none, it asks the zone's next one.
 func (l *load) askReaders(ctx context.Context) {
 	var group errgroup.Group
-	for _, p := range l.readersToAsk() {
+	for _, readers := range l.readersToAsk() {
 		group.Go(func() error {
-			l.askReader(ctx, p)
+			for _, p := range readers {
+				if l.askReader(ctx, p) {
+					break
+				}
+			}
 			return nil
 		})
 	}
 	_ = group.Wait() // askReader handles its errors
 }
 
-// readersToAsk returns the other readers of the own zone and a reader of each other zone.
-func (l *load) readersToAsk() []follower.Peer {
+// readersToAsk returns lists of readers, of each of which one has to answer: those of each other
+// zone, and each other reader of the own zone alone.
+func (l *load) readersToAsk() [][]follower.Peer {
 	self := l.balancer.self()
 	peers := append(l.peers(), self)
 	zones, addresses := make(map[string]bool), make(map[string]bool)
@@ -51,19 +56,26 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	maps.DeleteFunc(l.backoffs, func(address string, _ time.Time) bool { return !addresses[address] })
-	var asked []follower.Peer
+	var asked [][]follower.Peer
 	for zone := range zones {
 		readers := follower.Readers(peers, zone, func(p follower.Peer) bool { return now.After(l.backoffs[p.Address]) })
 		if zone != self.AvailabilityZone && len(readers) > 0 {
-			readers = []follower.Peer{follower.PickReader(readers, self.Name)}
+			first := slices.Index(readers, follower.PickReader(readers, self.Name))
+			asked = append(asked, slices.Concat(readers[first:], readers[:first]))
+			continue
+		}
+		for _, p := range readers {
+			if p != self {
+				asked = append(asked, []follower.Peer{p})
+			}
 		}
-		asked = append(asked, readers...)
 	}
-	return slices.DeleteFunc(asked, func(p follower.Peer) bool { return p == self })
+	return asked
 }
 
-// askReader asks a reader for its load, and adds what it answers.
-func (l *load) askReader(ctx context.Context, p follower.Peer) {
+// askReader asks a reader for its load and adds what it answers. It reports whether that is what
+// a reader of its zone has.
+func (l *load) askReader(ctx context.Context, p follower.Peer) bool {
 	b := l.balancer
 	sent := b.ViewClock()
 	a, err := l.requestLoad(ctx, p)
@@ -77,20 +89,25 @@
 		if !failedBefore && ctx.Err() == nil {
 			b.log.Warn("source of load lost", "peer", p.Name, "zone", p.AvailabilityZone, "cause", err.Error())
 		}
-		return
+		return false
 	}
 	if failedBefore {
 		delete(l.backoffs, p.Address)
 		b.log.Info("source of load regained", "peer", p.Name, "zone", p.AvailabilityZone)
 	}
 	elapsed := now.Sub(sent)
-	if a.Half != nil && p.AvailabilityZone == b.settings.AvailabilityZone {
-		l.combiner.AddHalf(now, p.Name, elapsed, *a.Half)
+	if p.AvailabilityZone == b.settings.AvailabilityZone {
+		if a.Half != nil {
+			l.combiner.AddHalf(now, p.Name, elapsed, *a.Half)
+		}
+		return a.Half != nil
 	}
-	if a.Summary != nil && p.AvailabilityZone != b.settings.AvailabilityZone && a.Summary.AvailabilityZone == p.AvailabilityZone {
-		a.Summary.Distance = l.atlas.Measure(now, p.AvailabilityZone, elapsed)
-		l.atlas.Set(now, elapsed, *a.Summary)
+	if a.Summary == nil || a.Summary.AvailabilityZone != p.AvailabilityZone {
+		return false
 	}
+	a.Summary.Distance = l.atlas.Measure(now, p.AvailabilityZone, elapsed)
+	l.atlas.Set(now, elapsed, *a.Summary)
+	return true
 }
 
 func (l *load) requestLoad(ctx context.Context, p follower.Peer) (aggregator.Answer, error) {
