director: a picture that is set again is no new observation

A balancer that isn't a reader sets its Picture when one arrives, about every 1.2 s, and again once a second. Each time counted as a new observation of the load, so the admitter answered the same second of demand twice. A Picture is now new only if a Summary in it was combined later, by its age.

--- a/director/admission_test.go
+++ b/director/admission_test.go
@@ -10,19 +10,24 @@
 	"trefoilspring.example/trefoilspring/director"
 )
 
-// offer plays some seconds in which callers of all zones open flows on service desk, for one
-// request of 20 ms each, at a rate per second. rejected is the part that is turned away,
-// waiting how many requests wait.
+// demandOf returns a picture in which callers of all zones open flows on service desk, for one
+// request of 20 ms each, at a rate per second. rejected is the part that is turned away, waiting
+// how many requests wait.
+func demandOf(openings, rejected, waiting float64) aggregator.Picture {
+	admitted := openings * (1 - rejected)
+	demand := aggregator.Demand{
+		Openings: openings, Rejected: openings * rejected, Requests: admitted, Answered: admitted, Concurrency: waiting,
+	}
+	return aggregator.Picture{Zones: map[string]aggregator.Summary{
+		"entry": {AvailabilityZone: "entry", Balancers: 4, Demand: map[aggregator.Class]aggregator.Demand{{Service: "desk"}: demand}},
+	}}
+}
+
+// offer plays some seconds of demandOf.
 func offer(d *director.Director, now time.Time, seconds int, openings, rejected, waiting float64) time.Time {
 	for range seconds {
 		now = now.Add(time.Second)
-		admitted := openings * (1 - rejected)
-		demand := aggregator.Demand{
-			Openings: openings, Rejected: openings * rejected, Requests: admitted, Answered: admitted, Concurrency: waiting,
-		}
-		d.SetPicture(now, aggregator.Picture{Zones: map[string]aggregator.Summary{
-			"entry": {AvailabilityZone: "entry", Balancers: 4, Demand: map[aggregator.Class]aggregator.Demand{{Service: "desk"}: demand}},
-		}})
+		d.SetPicture(now, demandOf(openings, rejected, waiting))
 		d.Tick(now)
 	}
 	return now
@@ -147,3 +152,33 @@
 	is.True(turnedAway > 1000)
 	is.True(turnedAway < 3000-3000*45*3/2/240)
 }
+
+// Load pattern: pictures arrive every other second, and the last one is set again between. What it
+// says counts once.
+func TestRepeatedPictureIsNoNewObservation(t *testing.T) {
+	is := is.New(t)
+	turnedAway := func(repeat bool) int {
+		d, now := newDirector(15), start
+		for range 6 {
+			now = offer(d, now, 1, 9000, 0.2, 120)
+			now = now.Add(time.Second)
+			if repeat {
+				p := demandOf(9000, 0.2, 120)
+				s := p.Zones["entry"]
+				s.Age = time.Second
+				p.Zones["entry"] = s
+				d.SetPicture(now, p)
+			}
+			d.Tick(now)
+		}
+		count := 0
+		for n := range 1000 {
+			if d.Decide(now, opening(n, 0)).Reason == director.ReasonTurnedAway {
+				count++
+			}
+		}
+		return count
+	}
+	is.True(turnedAway(false) > 0)
+	is.Equal(turnedAway(true), turnedAway(false))
+}
--- a/director/load.go
+++ b/director/load.go
@@ -6,11 +6,27 @@
 	"trefoilspring.example/trefoilspring/aggregator"
 )
 
+// minRoundGap is less than the time between two rounds in which a zone's reports are combined, and
+// more than the error of a Summary's age.
+const minRoundGap = 500 * time.Millisecond
+
 // SetPicture applies what the balancers of all availability zones observe of the load. A
 // zone that the picture lacks is unknown; decisions then follow from what this balancer
 // observes itself.
+//
+// Load pattern: the same Summaries arrive twice, and what they say must not count as two seconds
+// of too much demand.
 func (d *Director) SetPicture(now time.Time, p aggregator.Picture) {
-	d.picture, d.load.pictureAt = p, now
+	d.picture = p
+	var combinedAt time.Time
+	for _, s := range p.Zones {
+		if at := now.Add(-s.Age); at.After(combinedAt) {
+			combinedAt = at
+		}
+	}
+	if combinedAt.Sub(d.load.combinedAt) >= minRoundGap {
+		d.load.pictureAt, d.load.combinedAt = now, combinedAt
+	}
 	d.applySpeeds(now)
 }
 
--- a/director/overload.go
+++ b/director/overload.go
@@ -23,9 +23,10 @@
 // load holds what is known of the load, and decides which new flows are turned away.
 type load struct {
 	admitter admitter.Admitter
-	// pictureAt is when Director.picture arrived, and usedPictureAt when the last one did that
-	// was used.
+	// pictureAt is when the first picture with the latest Summary arrived, which was combined at
+	// combinedAt, and usedPictureAt when the last one did that was used.
 	pictureAt     time.Time
+	combinedAt    time.Time
 	usedPictureAt time.Time
 	// own holds what this balancer saw since ownSince.
 	own      map[aggregator.Class]*ownLoad
