--- a/balancer/load_test.go
+++ b/balancer/load_test.go
@@ -89,6 +89,20 @@
 	return found[0]
 }
 
+// sendReport sends a load report in a request for the view, and returns the response's header.
+func (n *node) sendReport(t *testing.T, text string) http.Header {
+	t.Helper()
+	is := is.New(t)
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+n.settings.PeerAddress.String()+"/view?after=0&wait-ms=0", nil)
+	is.NoErr(err)
+	req.Header.Set("Load-Report", text)
+	res, err := http.DefaultClient.Do(req)
+	is.NoErr(err)
+	is.NoErr(res.Body.Close())
+	is.Equal(res.StatusCode, http.StatusOK)
+	return res.Header
+}
+
 // Reports that can't be used are counted by reason, and the response has the view all the same.
 func TestUnusableLoadReportsAreDropped(t *testing.T) {
 	is := is.New(t)
@@ -107,14 +121,7 @@
 		base64.RawStdEncoding.EncodeToString(frozenData): "too-old",
 		strings.Repeat("A", 20000):                       "too-large",
 	} {
-		req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+n.settings.PeerAddress.String()+"/view?after=0&wait-ms=0", nil)
-		is.NoErr(err)
-		req.Header.Set("Load-Report", report)
-		res, err := http.DefaultClient.Do(req)
-		is.NoErr(err)
-		is.NoErr(res.Body.Close())
-		is.Equal(res.StatusCode, http.StatusOK)
-		is.True(res.Header.Get("Load-Clock") != "")
+		is.True(n.sendReport(t, report).Get("Load-Clock") != "")
 		n.awaitMetric(t, fmt.Sprintf("trefoilspring_load_reports_dropped_total{reason=%q} 1", reason))
 	}
 	is.True(n.log.contains(`"msg":"load report dropped"`))
