--- a/balancer/loadmessages.go
+++ b/balancer/loadmessages.go
@@ -27,13 +27,10 @@
 // the own zone and a report is due.
 func (l *load) attach(address string, header http.Header) {
 	b := l.balancer
-	if !b.isZonePeer(address) {
-		return
-	}
 	now := b.ViewClock()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if now.Sub(l.sentAt) < reportInterval {
+	if now.Sub(l.sentAt) < reportInterval || !b.isZonePeer(address) {
 		return
 	}
 	var r aggregator.Report
