--- a/aggregator/answer.go
+++ b/aggregator/answer.go
@@ -93,7 +93,9 @@
 
 // newHalfSamples returns the samples of targets for a message.
 func newHalfSamples(samples []rater.Sample) (services []string, counts []TargetCount) {
-	for _, s := range samples[:min(len(samples), maxElements)] {
+	samples = samples[:min(len(samples), maxElements)]
+	counts = make([]TargetCount, 0, len(samples))
+	for _, s := range samples {
 		i := slices.Index(services, s.Service)
 		if i < 0 {
 			i = len(services)
--- a/aggregator/combiner.go
+++ b/aggregator/combiner.go
@@ -60,8 +60,8 @@
 }
 
 // Add adds a report that arrived at now. age is the time since the end of its window, at most.
-// It replaces an earlier report of the same balancer. An *InvalidError tells why a report is not
-// used.
+// It replaces an earlier report of the same balancer, and keeps the entries, which the caller must
+// not change. An *InvalidError tells why a report is not used.
 func (c *Combiner) Add(now time.Time, age time.Duration, r Report) error {
 	if err := r.Validate(); err != nil {
 		return err
@@ -80,12 +80,12 @@
 	case before != nil && before.endedAt.After(endedAt):
 		return &InvalidError{ReasonTooOld}
 	}
-	r.Classes = slices.DeleteFunc(slices.Clone(r.Classes), func(k ClassCount) bool {
-		return c.leaveOut(c.KnowsService != nil && !c.KnowsService(k.Class.Service))
-	})
-	r.Targets = slices.DeleteFunc(slices.Clone(r.Targets), func(t TargetCount) bool {
-		return c.leaveOut(c.KnowsTarget != nil && !c.KnowsTarget(t.Target, r.Services[t.Service]))
-	})
+	if c.KnowsService != nil {
+		r.Classes = leaveOut(c, r.Classes, func(k ClassCount) bool { return !c.KnowsService(k.Class.Service) })
+	}
+	if c.KnowsTarget != nil {
+		r.Targets = leaveOut(c, r.Targets, func(t TargetCount) bool { return !c.KnowsTarget(t.Target, r.Services[t.Service]) })
+	}
 	if c.reports == nil {
 		c.reports = make(map[string]*received)
 	}
@@ -93,11 +93,15 @@
 	return nil
 }
 
-func (c *Combiner) leaveOut(unknown bool) bool {
-	if unknown {
-		c.left++
+// leaveOut returns the entries without the unknown ones, which it counts. The entries themselves
+// stay as they are, since the caller may still send them.
+func leaveOut[T any](c *Combiner, entries []T, unknown func(T) bool) []T {
+	if !slices.ContainsFunc(entries, unknown) {
+		return entries
 	}
-	return unknown
+	known := slices.DeleteFunc(slices.Clone(entries), unknown)
+	c.left += len(entries) - len(known)
+	return known
 }
 
 // Unknown returns the number of entries of unknown services and targets that were left out
--- a/aggregator/halves.go
+++ b/aggregator/halves.go
@@ -29,6 +29,7 @@
 	if before := c.halves[reader]; before != nil && before.number == h.Number {
 		added.samples = before.samples
 	} else if age <= ReportTTL {
+		added.samples = make([]rater.Sample, 0, len(h.Samples))
 		for _, t := range h.Samples {
 			added.samples = append(added.samples, sampleOf(t, h.Services[t.Service]))
 		}
@@ -46,7 +47,11 @@
 // Samples returns what the reports that arrived since the last round say of targets, here and
 // at the other readers. Each target occurs once.
 func (c *Combiner) Samples() []rater.Sample {
-	sums := make(map[uint64]rater.Sample)
+	count := len(c.samples)
+	for _, h := range c.halves {
+		count = max(count, len(h.samples))
+	}
+	sums := make(map[uint64]rater.Sample, count)
 	add := func(samples []rater.Sample) {
 		for _, s := range samples {
 			if sum, known := sums[s.Target]; known && sum.Service == s.Service {
--- a/aggregator/samples.go
+++ b/aggregator/samples.go
@@ -1,7 +1,9 @@
 package aggregator
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 
 	"trefoilspring.example/trefoilspring/rater"
@@ -19,8 +21,8 @@
 // as many requests as its classes are bounded to. The reports are named in order.
 func boundSamples(reports map[string]*received, names []string, limits map[Class]bounds) []rater.Sample {
 	usual := targetMedians(reports, names)
-	sums := make(map[uint64]int)
-	var samples []rater.Sample
+	sums := make(map[uint64]int, len(usual))
+	samples := make([]rater.Sample, 0, len(usual))
 	for _, name := range names {
 		r := &reports[name].report
 		shares := serviceShares(r, limits)
@@ -92,19 +94,30 @@
 }
 
 func targetMedians(reports map[string]*received, names []string) map[uint64]targetMedian {
-	begun, times := make(map[uint64][]float64), make(map[uint64][]float64)
+	total := 0
 	for _, name := range names {
-		for _, t := range reports[name].report.Targets {
-			begun[t.Target] = append(begun[t.Target], float64(t.Begun))
+		total += len(reports[name].report.Targets)
+	}
+	counts := make([]TargetCount, 0, total)
+	for _, name := range names {
+		counts = append(counts, reports[name].report.Targets...)
+	}
+	slices.SortFunc(counts, func(a, b TargetCount) int { return cmp.Compare(a.Target, b.Target) })
+	medians := make(map[uint64]targetMedian)
+	var begun, means []float64
+	for len(counts) > 0 {
+		id := counts[0].Target
+		begun, means = begun[:0], means[:0]
+		for len(counts) > 0 && counts[0].Target == id {
+			t := &counts[0]
+			begun = append(begun, float64(t.Begun))
 			if t.Timed > 0 {
-				times[t.Target] = append(times[t.Target], float64(t.Time)/float64(t.Timed))
+				means = append(means, float64(t.Time)/float64(t.Timed))
 			}
+			counts = counts[1:]
 		}
-	}
-	medians := make(map[uint64]targetMedian, len(begun))
-	for id, values := range begun {
-		m := targetMedian{begun: median(values, len(names))}
-		if means := times[id]; len(means) >= minReporters {
+		m := targetMedian{begun: median(begun, len(names))}
+		if len(means) >= minReporters {
 			m.meanTime = time.Duration(median(means, len(means)))
 		}
 		medians[id] = m
