--- a/balancer/load_test.go
+++ b/balancer/load_test.go
@@ -95,7 +95,9 @@
 	is := is.New(t)
 	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+n.settings.PeerAddress.String()+"/view?after=0&wait-ms=0", nil)
 	is.NoErr(err)
-	req.Header.Set("Load-Report", text)
+	if text != "" {
+		req.Header.Set("Load-Report", text)
+	}
 	res, err := http.DefaultClient.Do(req)
 	is.NoErr(err)
 	is.NoErr(res.Body.Close())
@@ -125,30 +127,37 @@
 		n.awaitMetric(t, fmt.Sprintf("trefoilspring_load_reports_dropped_total{reason=%q} 1", reason))
 	}
 	is.True(n.log.contains(`"msg":"load report dropped"`))
+	older := n.sendReport(t, "") // a balancer of a release without load reports
+	is.Equal(older.Get("Load-Clock")+older.Get("Load-Picture"), "")
 }
 
-// A reader that has just started has no load of its zone yet. The zone's other reader is asked in
-// the same round.
+// A reader that has just started has no load of its zone yet, and one of a release without load
+// reports never has. The zone's other reader is asked in the same round.
 func TestNextReaderIsAskedIfOneHasNoLoad(t *testing.T) {
 	s := &store{}
 	s.set("op/config", configurationText)
-	var first atomic.Pointer[string]
-	known, err := aggregator.Answer{Summary: &aggregator.Summary{AvailabilityZone: "b", Balancers: 2}}.Encode()
-	is.New(t).NoErr(err)
-	unknown, err := aggregator.Answer{}.Encode()
+	empty, err := aggregator.Answer{}.Encode()
 	is.New(t).NoErr(err)
-	for _, name := range []string{"b-1", "b-2"} {
-		reader := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-			answer := known
-			if first.CompareAndSwap(nil, &name) || *first.Load() == name {
-				answer = unknown
-			}
-			_, _ = w.Write(answer)
-		}))
-		t.Cleanup(reader.Close)
-		s.set("trefoilspring/balancers/"+name, fmt.Sprintf(`{"availability-zone":"b","address":%q,"strength":0}`, reader.Listener.Addr()))
+	for zone, withoutLoad := range map[string]http.HandlerFunc{
+		"b": func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(empty) },
+		"c": http.NotFound,
+	} {
+		known, err := aggregator.Answer{Summary: &aggregator.Summary{AvailabilityZone: zone, Balancers: 2}}.Encode()
+		is.New(t).NoErr(err)
+		var first atomic.Pointer[string]
+		for _, name := range []string{zone + "-1", zone + "-2"} {
+			reader := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if first.CompareAndSwap(nil, &name) || *first.Load() == name {
+					withoutLoad(w, r)
+					return
+				}
+				_, _ = w.Write(known)
+			}))
+			t.Cleanup(reader.Close)
+			s.set("trefoilspring/balancers/"+name, fmt.Sprintf(`{"availability-zone":%q,"address":%q,"strength":0}`, zone, reader.Listener.Addr()))
+		}
 	}
 	n := newNode(t, "a-1", s)
 	n.start(t)
-	n.awaitMetric(t, "trefoilspring_load_zones 2")
+	n.awaitMetric(t, "trefoilspring_load_zones 3")
 }
