--- a/balancer/load_test.go
+++ b/balancer/load_test.go
@@ -5,8 +5,10 @@
 	"fmt"
 	"log/slog"
 	"net/http"
+	"net/http/httptest"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -87,6 +89,22 @@
 	return found[0]
 }
 
+// sendReport sends a load report in a request for the view, and returns the response's header.
+func (n *node) sendReport(t *testing.T, text string) http.Header {
+	t.Helper()
+	is := is.New(t)
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+n.settings.PeerAddress.String()+"/view?after=0&wait-ms=0", nil)
+	is.NoErr(err)
+	if text != "" {
+		req.Header.Set("Load-Report", text)
+	}
+	res, err := http.DefaultClient.Do(req)
+	is.NoErr(err)
+	is.NoErr(res.Body.Close())
+	is.Equal(res.StatusCode, http.StatusOK)
+	return res.Header
+}
+
 // Reports that can't be used are counted by reason, and the response has the view all the same.
 func TestUnusableLoadReportsAreDropped(t *testing.T) {
 	is := is.New(t)
@@ -105,15 +123,61 @@
 		base64.RawStdEncoding.EncodeToString(frozenData): "too-old",
 		strings.Repeat("A", 20000):                       "too-large",
 	} {
-		req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+n.settings.PeerAddress.String()+"/view?after=0&wait-ms=0", nil)
-		is.NoErr(err)
-		req.Header.Set("Load-Report", report)
-		res, err := http.DefaultClient.Do(req)
-		is.NoErr(err)
-		is.NoErr(res.Body.Close())
-		is.Equal(res.StatusCode, http.StatusOK)
-		is.True(res.Header.Get("Load-Clock") != "")
+		is.True(n.sendReport(t, report).Get("Load-Clock") != "")
 		n.awaitMetric(t, fmt.Sprintf("trefoilspring_load_reports_dropped_total{reason=%q} 1", reason))
 	}
 	is.True(n.log.contains(`"msg":"load report dropped"`))
+	older := n.sendReport(t, "") // a balancer of a release without load reports
+	is.Equal(older.Get("Load-Clock")+older.Get("Load-Picture"), "")
+}
+
+// A reader that has just started has no load of its zone yet, and one of a release without load
+// reports never has. The zone's other reader is asked in the same round.
+func TestNextReaderIsAskedIfOneHasNoLoad(t *testing.T) {
+	s := &store{}
+	s.set("op/config", configurationText)
+	empty, err := aggregator.Answer{}.Encode()
+	is.New(t).NoErr(err)
+	for zone, withoutLoad := range map[string]http.HandlerFunc{
+		"b": func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(empty) },
+		"c": http.NotFound,
+	} {
+		known, err := aggregator.Answer{Summary: &aggregator.Summary{AvailabilityZone: zone, Balancers: 2}}.Encode()
+		is.New(t).NoErr(err)
+		var first atomic.Pointer[string]
+		for _, name := range []string{zone + "-1", zone + "-2"} {
+			reader := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if first.CompareAndSwap(nil, &name) || *first.Load() == name {
+					withoutLoad(w, r)
+					return
+				}
+				_, _ = w.Write(known)
+			}))
+			t.Cleanup(reader.Close)
+			s.set("trefoilspring/balancers/"+name, fmt.Sprintf(`{"availability-zone":%q,"address":%q,"strength":0}`, zone, reader.Listener.Addr()))
+		}
+	}
+	n := newNode(t, "a-1", s)
+	n.start(t)
+	n.awaitMetric(t, "trefoilspring_load_zones 3")
+}
+
+// The load stays known while the store is down and views grow old.
+func TestLoadStaysKnownWithoutTheStore(t *testing.T) {
+	is := is.New(t)
+	s := &store{}
+	s.set("op/config", configurationText)
+	nodes := []*node{newNode(t, "a-0", s), newNode(t, "a-1", s), newNode(t, "a-2", s), newNodeIn(t, "b", "b-0", s)}
+	for _, n := range nodes {
+		n.start(t)
+	}
+	for _, n := range nodes {
+		n.awaitMetric(t, "trefoilspring_load_zones 2")
+	}
+	s.setDown(true)
+	time.Sleep(aggregator.SummaryTTL + 3*time.Second)
+	for _, n := range nodes {
+		n.awaitMetric(t, "trefoilspring_load_zones 2")
+		is.True(!n.log.contains(`"msg":"load of zone lost"`))
+	}
 }
--- a/balancer/loadreaders.go
+++ b/balancer/loadreaders.go
@@ -27,43 +27,64 @@
 )
 
 // askReaders asks the other readers of the own zone for their halves, and a reader of each other
-// zone for the zone's Summary.
+// zone for the zone's Summary. If that reader has none, it asks the zone's next one.
 func (l *load) askReaders(ctx context.Context) {
 	var group errgroup.Group
-	for _, p := range l.readersToAsk() {
+	for _, readers := range l.readersToAsk() {
 		group.Go(func() error {
-			l.askReader(ctx, p)
+			for _, p := range readers {
+				if l.askReader(ctx, p) {
+					break
+				}
+			}
 			return nil
 		})
 	}
 	_ = group.Wait() // askReader handles its errors
 }
 
-// readersToAsk returns the other readers of the own zone and a reader of each other zone.
-func (l *load) readersToAsk() []follower.Peer {
+// readersToAsk returns lists of readers, of each of which one has to answer: those of each other
+// zone, and each other reader of the own zone alone.
+func (l *load) readersToAsk() [][]follower.Peer {
 	self := l.balancer.self()
 	peers := append(l.peers(), self)
 	zones, addresses := make(map[string]bool), make(map[string]bool)
 	for _, p := range peers {
 		zones[p.AvailabilityZone], addresses[p.Address] = true, true
 	}
-	now := l.balancer.ViewClock()
 	l.mu.Lock()
-	defer l.mu.Unlock()
 	maps.DeleteFunc(l.backoffs, func(address string, _ time.Time) bool { return !addresses[address] })
-	var asked []follower.Peer
+	l.mu.Unlock()
+	responds := l.responds(l.balancer.ViewClock())
+	var asked [][]follower.Peer
 	for zone := range zones {
-		readers := follower.Readers(peers, zone, func(p follower.Peer) bool { return now.After(l.backoffs[p.Address]) })
+		readers := follower.Readers(peers, zone, responds)
 		if zone != self.AvailabilityZone && len(readers) > 0 {
-			readers = []follower.Peer{follower.PickReader(readers, self.Name)}
+			first := slices.Index(readers, follower.PickReader(readers, self.Name))
+			asked = append(asked, slices.Concat(readers[first:], readers[:first]))
+			continue
+		}
+		for _, p := range readers {
+			if p != self {
+				asked = append(asked, []follower.Peer{p})
+			}
 		}
-		asked = append(asked, readers...)
 	}
-	return slices.DeleteFunc(asked, func(p follower.Peer) bool { return p == self })
+	return asked
 }
 
-// askReader asks a reader for its load, and adds what it answers.
-func (l *load) askReader(ctx context.Context, p follower.Peer) {
+// responds returns a function that reports whether a balancer may be asked at now.
+func (l *load) responds(now time.Time) func(follower.Peer) bool {
+	return func(p follower.Peer) bool {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		return now.After(l.backoffs[p.Address])
+	}
+}
+
+// askReader asks a reader for its load and adds what it answers. It reports whether that is what
+// a reader of its zone has.
+func (l *load) askReader(ctx context.Context, p follower.Peer) bool {
 	b := l.balancer
 	sent := b.ViewClock()
 	a, err := l.requestLoad(ctx, p)
@@ -77,30 +98,45 @@
 		if !failedBefore && ctx.Err() == nil {
 			b.log.Warn("source of load lost", "peer", p.Name, "zone", p.AvailabilityZone, "cause", err.Error())
 		}
-		return
+		return false
 	}
 	if failedBefore {
 		delete(l.backoffs, p.Address)
 		b.log.Info("source of load regained", "peer", p.Name, "zone", p.AvailabilityZone)
 	}
 	elapsed := now.Sub(sent)
-	if a.Half != nil && p.AvailabilityZone == b.settings.AvailabilityZone {
-		l.combiner.AddHalf(now, p.Name, elapsed, *a.Half)
+	if p.AvailabilityZone == b.settings.AvailabilityZone {
+		if a.Half != nil {
+			l.combiner.AddHalf(now, p.Name, elapsed, *a.Half)
+		}
+		return a.Half != nil
 	}
-	if a.Summary != nil && p.AvailabilityZone != b.settings.AvailabilityZone && a.Summary.AvailabilityZone == p.AvailabilityZone {
-		a.Summary.Distance = l.atlas.Measure(now, p.AvailabilityZone, elapsed)
-		l.atlas.Set(now, elapsed, *a.Summary)
+	if a.Summary == nil || a.Summary.AvailabilityZone != p.AvailabilityZone {
+		return false
 	}
+	a.Summary.Distance = l.atlas.Measure(now, p.AvailabilityZone, elapsed)
+	l.atlas.Set(now, elapsed, *a.Summary)
+	return true
 }
 
 func (l *load) requestLoad(ctx context.Context, p follower.Peer) (aggregator.Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, readerTimeout)
 	defer cancel()
-	query := url.Values{zoneParameter: {l.balancer.settings.AvailabilityZone}}
+	l.mu.Lock()
+	combining := l.combining
+	l.mu.Unlock()
+	query := url.Values{}
+	if combining {
+		query.Set(zoneParameter, l.balancer.settings.AvailabilityZone)
+	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.Address+loadPath+"?"+query.Encode(), nil)
 	if err != nil {
 		return aggregator.Answer{}, errors.Wrapf(err, "requesting the load from peer %s", p.Name)
 	}
+	if !combining {
+		l.attach(p.Address, req.Header)
+	}
+	sent := l.balancer.ViewClock()
 	res, err := l.balancer.view.client.Do(req)
 	if err != nil {
 		return aggregator.Answer{}, errors.Wrapf(err, "requesting the load from peer %s", p.Name)
@@ -114,16 +150,20 @@
 		return aggregator.Answer{}, &PeerError{address: p.Address, status: res.StatusCode}
 	}
 	l.balancer.metrics.loadBytesReceived.Add(len(data))
+	l.takeAnswer(p.Address, res.Header, l.balancer.ViewClock().Sub(sent))
 	a, err := aggregator.DecodeAnswer(data)
 	return a, errors.Wrapf(err, "decoding the load of peer %s", p.Name)
 }
 
-// handle responds with the own zone's Summary and, to a balancer of the own zone, with this
-// balancer's half.
+// handle responds with the own zone's Summary and, to a reader of the own zone, with this
+// balancer's half. To a report it responds as a response with the view does.
 func (l *load) handle(w http.ResponseWriter, r *http.Request) {
 	b := l.balancer
 	own := b.settings.AvailabilityZone
 	now := b.ViewClock()
+	if l.takeRequest(r) {
+		l.answer(w.Header())
+	}
 	var a aggregator.Answer
 	l.mu.Lock()
 	if s, known := l.atlas.Picture(now).Zones[own]; known {
