replicator: give all changes to a peer if the own era is unknown

Cause: a balancer whose sources are of a release without eras has era 0. It took a peer that knows era 1 for one of a later era, and answered with no changes but with its own revision. The peer, which counts an answer without era as of its own one, raised its revision and missed the changes until it listed all keys again.

Change: without an own era, the changes after the peer's revision are sent, as an earlier release does. A peer that knows of a return ignores them.

--- a/replicator/era.go
+++ b/replicator/era.go
@@ -157,12 +157,13 @@
 }
 
 // AfterFor returns the revision after which a peer needs the changes that has the content of
-// an era up to a revision.
+// an era up to a revision. If the own era is unknown, the peer decides whether the changes are
+// of its era.
 func (r *Replica) AfterFor(era, revision uint64) uint64 {
 	switch {
 	case era < r.era.number:
 		return 0
-	case era > r.era.number:
+	case era > r.era.number && r.era.number > 0:
 		return math.MaxUint64 // nothing of this era is of use to the peer
 	}
 	return revision
--- a/replicator/era_test.go
+++ b/replicator/era_test.go
@@ -230,3 +230,17 @@
 		}
 	}
 }
+
+// A balancer whose sources have sent no era, as earlier releases do, gives a peer that knows
+// the era all changes after its revision.
+func TestPeerGetsAllChangesFromAReplicaWithoutEra(t *testing.T) {
+	is := is.New(t)
+	var withoutEra, r replicator.Replica
+	withoutEra.Merge(update(7, writtenItem("a", 7)), start)
+	known := update(5, writtenItem("b", 5))
+	known.Era, known.Full = 1, true
+	r.Merge(known, start)
+	r.Merge(withoutEra.Since(withoutEra.AfterFor(r.Era(), r.After()), start), start)
+	_, found := r.Find("a")
+	is.True(found)
+}
