replicator: let no value of an earlier era replace one of the same revision

Cause: a value is compressed without the lock, and stored if the key still has the revision. A store that comes back gives out revisions again, so a value of before the return could replace the newer one, and be sent to peers.

Change: the era must be the same, too. The existing test passes the era of its updates, 0.

--- a/balancer/peers.go
+++ b/balancer/peers.go
@@ -161,7 +161,7 @@
 	waited := b.ViewClock().Sub(arrived)
 	res, err := b.responses.encode(b.ViewClock, requested, func() replicator.Update {
 		u := b.updateFor(at)
-		b.compressItems(u.Items)
+		b.compressItems(u)
 		return u
 	})
 	if err != nil {
@@ -183,11 +183,11 @@
 	}
 }
 
-// compressItems compresses large values in place and stores the result in the view for
+// compressItems compresses the large values of an update in place and stores the result in the view for
 // later requests. A value is compressed only when a peer first requests it, because
 // compressing all values at the start would take most of the start-up time of a small VM.
-func (b *Balancer) compressItems(items []replicator.Item) {
-	for i, item := range items {
+func (b *Balancer) compressItems(u replicator.Update) {
+	for i, item := range u.Items {
 		compressed, err := item.Compress()
 		if err != nil {
 			b.log.Error("cannot compress value; sending it uncompressed", "key", item.Key, "cause", err.Error())
@@ -195,10 +195,10 @@
 		}
 		if compressed.Compressed && !item.Compressed {
 			b.mu.Lock()
-			b.view.replica.ReplaceWithCompressed(compressed)
+			b.view.replica.ReplaceWithCompressed(u.Era, compressed)
 			b.mu.Unlock()
 		}
-		items[i] = compressed
+		u.Items[i] = compressed
 	}
 }
 
--- a/replicator/era_test.go
+++ b/replicator/era_test.go
@@ -244,3 +244,20 @@
 	_, found := r.Find("a")
 	is.True(found)
 }
+
+// A value that was compressed while the store came back replaces no value of the newer era,
+// which may have the same revision.
+func TestCompressedItemOfAnEarlierEraReplacesNothing(t *testing.T) {
+	is := is.New(t)
+	var r replicator.Replica
+	before, after := update(7, writtenItem("a", 7)), update(7, writtenItem("a", 7))
+	before.Full, before.Era, after.Full, after.Era = true, 1, true, 2
+	before.Items[0].Value, after.Items[0].Value = make([]byte, 2048), []byte("new")
+	r.Merge(before, start)
+	compressed, err := before.Items[0].Compress()
+	is.NoErr(err)
+	r.Merge(after, start)
+	r.ReplaceWithCompressed(before.Era, compressed)
+	item, _ := r.Find("a")
+	is.Equal(item, after.Items[0])
+}
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -275,10 +275,10 @@
 // for an empty replica.
 func (r *Replica) Revision() uint64 { return r.revision }
 
-// ReplaceWithCompressed replaces an item by its compressed form, unless the key has
-// changed since the item was compressed.
-func (r *Replica) ReplaceWithCompressed(compressed Item) {
-	if r.items[compressed.Key].Revision == compressed.Revision {
+// ReplaceWithCompressed replaces an item of an era by its compressed form, unless the era or
+// the key has changed since the item was read.
+func (r *Replica) ReplaceWithCompressed(era uint64, compressed Item) {
+	if era == r.era.number && r.items[compressed.Key].Revision == compressed.Revision {
 		r.items[compressed.Key] = compressed
 	}
 }
--- a/replicator/replicator_test.go
+++ b/replicator/replicator_test.go
@@ -141,16 +141,16 @@
 	is.NoErr(err)
 	var r replicator.Replica
 	r.Merge(replicator.Update{Items: []replicator.Item{large}, Revision: 2}, start)
-	r.ReplaceWithCompressed(compressed)
+	r.ReplaceWithCompressed(0, compressed)
 	kept, _ := r.Find("b")
 	is.True(kept.Compressed)
 	newer := replicator.Item{Key: "b", Value: []byte("new"), Revision: 3}
 	r.Merge(replicator.Update{Items: []replicator.Item{newer}, Revision: 3}, start)
-	r.ReplaceWithCompressed(compressed)
+	r.ReplaceWithCompressed(0, compressed)
 	kept, _ = r.Find("b")
 	is.Equal(string(kept.Value), "new")
 	r.Merge(replicator.Update{Items: []replicator.Item{{Key: "b", Revision: 4, Removed: true}}, Revision: 4}, start)
-	r.ReplaceWithCompressed(compressed)
+	r.ReplaceWithCompressed(0, compressed)
 	_, ok := r.Find("b")
 	is.True(!ok)
 }
