replicator: compare values across eras by what they hold

Cause: a value that was compressed for a peer differed from the same value in a listing, so a removed key that the older copy brings back was taken for written, and a known one for changed.

Change: values of the same revision are compared decompressed.

--- a/replicator/era.go
+++ b/replicator/era.go
@@ -122,8 +122,20 @@
 	return shown
 }
 
+// isSame reports whether two items hold the same value of the same revision, compressed or not.
 func isSame(a, b Item) bool {
-	return a.Revision == b.Revision && a.Compressed == b.Compressed && bytes.Equal(a.Value, b.Value)
+	if a.Revision != b.Revision {
+		return false
+	}
+	if a.Compressed != b.Compressed {
+		var errA, errB error
+		a, errA = a.Decompress()
+		b, errB = b.Decompress()
+		if errA != nil || errB != nil {
+			return false
+		}
+	}
+	return bytes.Equal(a.Value, b.Value)
 }
 
 // endGrace ends the grace of an era once the store has confirmed the content later, and
--- a/replicator/era_test.go
+++ b/replicator/era_test.go
@@ -261,3 +261,22 @@
 	item, _ := r.Find("a")
 	is.Equal(item, after.Items[0])
 }
+
+// A key that was removed before the store came back stays hidden in the grace also if a peer
+// has made this balancer compress its value.
+func TestRemovedKeyWithACompressedValueStaysHidden(t *testing.T) {
+	is := is.New(t)
+	var r replicator.Replica
+	copied := update(7, writtenItem("a", 7), writtenItem("b", 6))
+	copied.Full, copied.Era = true, 1
+	copied.Items[0].Value = make([]byte, 2048)
+	r.Merge(copied, start)
+	compressed, err := copied.Items[0].Compress()
+	is.NoErr(err)
+	r.ReplaceWithCompressed(1, compressed)
+	removal := update(8, removedItem("a", 8))
+	removal.Era = 1
+	r.Merge(removal, start)
+	copied.Era = 2
+	is.Equal(len(r.Merge(copied, start)), 0)
+}
