--- a/standin/checker/checker.go
+++ b/standin/checker/checker.go
@@ -267,6 +267,16 @@
 	}
 }
 
+// CheckRejection checks a balancer's reset of an opening that a target had accepted. An
+// opening may only be turned away if it reached no target.
+func (c *Checker) CheckRejection(now time.Time, caller, server string, alive bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if alive && c.healthy(now, server) {
+		c.addViolation(now, "rejection", "the opening of %s was reset after it had reached %s", caller, server)
+	}
+}
+
 // CheckMisrouted checks the count of packets of an open flow that reached servers other
 // than the flow's own. It reports the flow once, when the count reaches misroutedLimit.
 func (c *Checker) CheckMisrouted(now time.Time, caller, server string, alive bool, count int) {
--- a/standin/checker/checker_test.go
+++ b/standin/checker/checker_test.go
@@ -58,6 +58,7 @@
 			}
 		},
 		"flow":      func(c *checker.Checker) { c.CheckReset(start, "c", "t", true, 0) },
+		"rejection": func(c *checker.Checker) { c.CheckRejection(start, "c", "t", true) },
 		"unaltered": func(c *checker.Checker) { c.ReportAltered(start, "t") },
 		"recovery":  func(c *checker.Checker) { c.ReportUnserved(start, 1, 10) },
 		"exit":      func(c *checker.Checker) { c.ReportExit(start, "b", nil) },
--- a/standin/cmd_soak.go
+++ b/standin/cmd_soak.go
@@ -41,14 +41,14 @@
 				if err != nil {
 					return err
 				}
-				fmt.Printf("seed %d: %d of %d requests served, %d faults, %d calls to the store, %d breaks\n",
-					report.Seed, report.Served, report.Requests, len(report.Injected), report.StoreRequests, len(report.Violations))
+				fmt.Printf("seed %d: %d of %d requests served, %d openings rejected, %d faults, %d calls to the store, %d breaks\n",
+					report.Seed, report.Served, report.Requests, report.Rejected, len(report.Injected), report.StoreRequests, len(report.Violations))
 				for _, v := range report.Violations {
 					fmt.Println(" ", v)
 				}
+				fmt.Println("  faults:", report.Injected)
 				if len(report.Violations) > 0 {
 					brokenRuns++
-					fmt.Println("  faults:", report.Injected)
 					fmt.Println("  logs:", report.Folder)
 				}
 			}
