director: forward no copy of an opening that was turned away

Cause: only the first copy of an opening was turned away, later ones were forwarded in case the reset was lost. Copies that waited beside the first one in the socket of a frozen balancer opened the flow at a target 13 and 56 us after the reset, which says that it hasn't run.

Change: each further copy is reset, too, as where no target is left.

--- a/director/admission.go
+++ b/director/admission.go
@@ -17,8 +17,8 @@
 const admissionSalt = 0x61646d6974
 
 // turnsAway reports whether the first opening packet of a flow that isn't tracked is turned
-// away, and counts the flow. The flow is then tracked, so that each further copy is known
-// not to have reached a target. A flow that can't be tracked, or that no target would accept,
+// away, and counts the flow. The flow is then tracked, so that each further copy is turned
+// away, too: the caller may have got the reset, and no copy has reached a target. A flow that can't be tracked, or that no target would accept,
 // is not turned away.
 //
 // Load pattern: callers ask more of a service than its targets can answer; the least urgent
--- a/director/director.go
+++ b/director/director.go
@@ -351,11 +351,9 @@
 		// Another balancer may have sent the first copy to a target that can't be known here.
 		return Decision{Action: Drop, Reason: ReasonOpeningUnknown}
 	}
-	if p.Retransmissions == 0 {
-		class := classOf(key, route)
-		if f != nil && f.turnedAway || f == nil && d.turnsAway(now, key, p, class) {
-			return refuseAdmission(class)
-		}
+	class := classOf(key, route)
+	if f != nil && f.turnedAway || f == nil && d.turnsAway(now, key, p, class) {
+		return refuseAdmission(class)
 	}
 	m := d.choose(now, key, route)
 	if m == nil {
