--- a/balancer/packets.go
+++ b/balancer/packets.go
@@ -136,7 +136,7 @@
 func (l *packetLoop) execute(now time.Time, i int, packet *director.Packet, d director.Decision) {
 	b := l.balancer
 	b.metrics.countDecision(d)
-	if d.Reason == director.ReasonTurnedAway {
+	if d.Reason == director.ReasonTurnedAway && packet.Retransmissions == 0 {
 		b.metrics.countTurnedAway(d.Urgency)
 	}
 	switch d.Action {
