--- a/director/admission_test.go
+++ b/director/admission_test.go
@@ -42,10 +42,10 @@
 	return d, offer(d, now, 8, 9000, 0.75, 90)
 }
 
-// Flows that there is no room for are reset at their first packet, and so is each copy that
-// follows: the reset of the first one may be on its way, so the flow must not open any more. A
-// copy whose first one isn't known is never reset.
-func TestOnlyFlowsAreTurnedAwayWhoseFirstCopyCame(t *testing.T) {
+// Flows that there is no room for are reset at their first packet. Copies that come later reach
+// no target either: they may have waited beside the first one in the socket of a process that
+// stood still. A copy whose first one isn't known is never reset.
+func TestOnlyFlowsWhoseFirstCopyCameAreTurnedAway(t *testing.T) {
 	is := is.New(t)
 	d, now := newOverloadedDirector()
 	is.Equal(d.HealthSummary(now).LimitedServices, []string{"desk"})
@@ -62,7 +62,10 @@
 		is.Equal(first.Action, director.Reset)
 		is.Equal(first.Reason, director.ReasonTurnedAway)
 		is.Equal(d.Decide(now, opening(n, 0)), first)
-		is.Equal(d.Decide(now, opening(n, 1)), first)
+		for _, later := range []time.Duration{0, 200 * time.Millisecond, 1200 * time.Millisecond} {
+			is.Equal(d.Decide(now.Add(later), opening(n, 1)), first)
+		}
+		is.Equal(d.Decide(now, opening(n, 0)), first)
 		is.Equal(d.Decide(now, opening(n, 2)), first)
 	}
 	is.True(turnedAway > 500)
--- a/replicator/era.go
+++ b/replicator/era.go
@@ -122,8 +122,20 @@
 	return shown
 }
 
+// isSame reports whether two items hold the same value of the same revision, compressed or not.
 func isSame(a, b Item) bool {
-	return a.Revision == b.Revision && a.Compressed == b.Compressed && bytes.Equal(a.Value, b.Value)
+	if a.Revision != b.Revision {
+		return false
+	}
+	if a.Compressed != b.Compressed {
+		var errA, errB error
+		a, errA = a.Decompress()
+		b, errB = b.Decompress()
+		if errA != nil || errB != nil {
+			return false
+		}
+	}
+	return bytes.Equal(a.Value, b.Value)
 }
 
 // endGrace ends the grace of an era once the store has confirmed the content later, and
@@ -157,12 +169,13 @@
 }
 
 // AfterFor returns the revision after which a peer needs the changes that has the content of
-// an era up to a revision.
+// an era up to a revision. If the own era is unknown, the peer decides whether the changes are
+// of its era.
 func (r *Replica) AfterFor(era, revision uint64) uint64 {
 	switch {
 	case era < r.era.number:
 		return 0
-	case era > r.era.number:
+	case era > r.era.number && r.era.number > 0:
 		return math.MaxUint64 // nothing of this era is of use to the peer
 	}
 	return revision
--- a/replicator/era_test.go
+++ b/replicator/era_test.go
@@ -274,3 +274,53 @@
 		}
 	}
 }
+
+// A balancer whose sources have sent no era, as earlier releases do, gives a peer that knows
+// the era all changes after its revision.
+func TestPeerGetsAllChangesFromAReplicaWithoutEra(t *testing.T) {
+	is := is.New(t)
+	var withoutEra, r replicator.Replica
+	withoutEra.Merge(update(7, writtenItem("a", 7)), start)
+	known := update(5, writtenItem("b", 5))
+	known.Era, known.Full = 1, true
+	r.Merge(known, start)
+	r.Merge(withoutEra.Since(withoutEra.AfterFor(r.Era(), r.After()), start), start)
+	_, found := r.Find("a")
+	is.True(found)
+}
+
+// A value that was compressed while the store came back replaces no value of the newer era,
+// which may have the same revision.
+func TestCompressedItemOfAnEarlierEraReplacesNothing(t *testing.T) {
+	is := is.New(t)
+	var r replicator.Replica
+	before, after := update(7, writtenItem("a", 7)), update(7, writtenItem("a", 7))
+	before.Full, before.Era, after.Full, after.Era = true, 1, true, 2
+	before.Items[0].Value, after.Items[0].Value = make([]byte, 2048), []byte("new")
+	r.Merge(before, start)
+	compressed, err := before.Items[0].Compress()
+	is.NoErr(err)
+	r.Merge(after, start)
+	r.ReplaceWithCompressed(before.Era, compressed)
+	item, _ := r.Find("a")
+	is.Equal(item, after.Items[0])
+}
+
+// A key that was removed before the store came back stays hidden in the grace also if a peer
+// has made this balancer compress its value.
+func TestRemovedKeyWithACompressedValueStaysHidden(t *testing.T) {
+	is := is.New(t)
+	var r replicator.Replica
+	copied := update(7, writtenItem("a", 7), writtenItem("b", 6))
+	copied.Full, copied.Era = true, 1
+	copied.Items[0].Value = make([]byte, 2048)
+	r.Merge(copied, start)
+	compressed, err := copied.Items[0].Compress()
+	is.NoErr(err)
+	r.ReplaceWithCompressed(1, compressed)
+	removal := update(8, removedItem("a", 8))
+	removal.Era = 1
+	r.Merge(removal, start)
+	copied.Era = 2
+	is.Equal(len(r.Merge(copied, start)), 0)
+}
