balancer: load reports go on while the store is down

While the store is down, balancers ask each source of the view in a burst every 4 s, so reports and Pictures came every 4 s too. And the readers took a peer's answer for their source of the view, so none combined. All zones' load was lost 3 to 5 s after the store went down.

The first two balancers of a zone's order now combine whatever the source of their view. A balancer that has sent no report for 1.4 s sends it in GET /load to one of them, once a second, and gets the Picture with the answer; while the store is up, reports keep travelling with requests for the view.

The new test failed before: of two zones, none to one was known 8 s after the store went down.

--- a/balancer/load.go
+++ b/balancer/load.go
@@ -37,6 +37,9 @@
 	report  aggregator.Report
 	takenAt time.Time
 	sentAt  time.Time
+	// direct reports whether reports are sent in requests of their own, because too few requests
+	// for the view are sent: while the store is down, balancers ask for the view every 4 s.
+	direct bool
 	// clocks holds the last clock of each peer, by address.
 	clocks map[string]peerClock
 	// half is the last one, of roundAt.
@@ -102,16 +105,24 @@
 		return
 	}
 	now := b.ViewClock()
+	readers := follower.Readers(append(l.peers(), b.self()), b.settings.AvailabilityZone, l.responds(now))
 	l.mu.Lock()
-	combining := fromStore || l.combiner.Reporters(now, b.settings.Name) > 0
+	combining := fromStore || slices.Contains(readers, b.self()) || l.combiner.Reporters(now, b.settings.Name) > 0
 	if delay := now.Sub(l.takenAt); delay > maxReportDelay || combining && delay > reportInterval {
 		l.takeReport(now)
 	}
 	l.setCombining(combining)
 	l.updateMembers(now)
+	if l.sentAt.IsZero() {
+		l.sentAt = now.Add(-reportInterval) // the next request for the view has a report
+	}
+	l.direct = l.direct || now.Sub(l.sentAt) > maxReportDelay
+	direct := l.direct
 	l.mu.Unlock()
 	if combining {
 		l.askReaders(ctx)
+	} else if direct && len(readers) > 0 {
+		l.askReader(ctx, follower.PickReader(readers, b.settings.Name))
 	}
 	now = b.ViewClock()
 	l.mu.Lock()
--- a/balancer/load_test.go
+++ b/balancer/load_test.go
@@ -161,3 +161,23 @@
 	n.start(t)
 	n.awaitMetric(t, "trefoilspring_load_zones 3")
 }
+
+// The load stays known while the store is down and views grow old.
+func TestLoadStaysKnownWithoutTheStore(t *testing.T) {
+	is := is.New(t)
+	s := &store{}
+	s.set("op/config", configurationText)
+	nodes := []*node{newNode(t, "a-0", s), newNode(t, "a-1", s), newNode(t, "a-2", s), newNodeIn(t, "b", "b-0", s)}
+	for _, n := range nodes {
+		n.start(t)
+	}
+	for _, n := range nodes {
+		n.awaitMetric(t, "trefoilspring_load_zones 2")
+	}
+	s.setDown(true)
+	time.Sleep(aggregator.SummaryTTL + 3*time.Second)
+	for _, n := range nodes {
+		n.awaitMetric(t, "trefoilspring_load_zones 2")
+		is.True(!n.log.contains(`"msg":"load of zone lost"`))
+	}
+}
--- a/balancer/loadmessages.go
+++ b/balancer/loadmessages.go
@@ -24,14 +24,14 @@
 var loadEncoding = base64.RawStdEncoding
 
 // attach adds a report to a request for the view to the peer at an address, if the peer is in
-// the own zone and a report is due.
-func (l *load) attach(address string, header http.Header) {
+// the own zone and a report is due. It reports whether it did.
+func (l *load) attach(address string, header http.Header) bool {
 	b := l.balancer
 	now := b.ViewClock()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if now.Sub(l.sentAt) < reportInterval || !b.isZonePeer(address) {
-		return
+		return false
 	}
 	var r aggregator.Report
 	if c, known := l.clocks[address]; known {
@@ -47,7 +47,7 @@
 	data, err := r.Encode()
 	if err != nil {
 		b.log.Error("cannot encode load report", "cause", err.Error())
-		return
+		return false
 	}
 	l.sentAt = now
 	text := loadEncoding.EncodeToString(data)
@@ -56,6 +56,14 @@
 		b.metrics.loadReportsSent.Inc()
 	}
 	b.metrics.loadBytesSent.Add(len(text))
+	return true
+}
+
+// endDirect notes that a request for the view has a report.
+func (l *load) endDirect() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.direct = false
 }
 
 // isZonePeer reports whether another balancer of the own zone has an address.
--- a/balancer/loadreaders.go
+++ b/balancer/loadreaders.go
@@ -52,13 +52,13 @@
 	for _, p := range peers {
 		zones[p.AvailabilityZone], addresses[p.Address] = true, true
 	}
-	now := l.balancer.ViewClock()
 	l.mu.Lock()
-	defer l.mu.Unlock()
 	maps.DeleteFunc(l.backoffs, func(address string, _ time.Time) bool { return !addresses[address] })
+	l.mu.Unlock()
+	responds := l.responds(l.balancer.ViewClock())
 	var asked [][]follower.Peer
 	for zone := range zones {
-		readers := follower.Readers(peers, zone, func(p follower.Peer) bool { return now.After(l.backoffs[p.Address]) })
+		readers := follower.Readers(peers, zone, responds)
 		if zone != self.AvailabilityZone && len(readers) > 0 {
 			first := slices.Index(readers, follower.PickReader(readers, self.Name))
 			asked = append(asked, slices.Concat(readers[first:], readers[:first]))
@@ -73,6 +73,15 @@
 	return asked
 }
 
+// responds returns a function that reports whether a balancer may be asked at now.
+func (l *load) responds(now time.Time) func(follower.Peer) bool {
+	return func(p follower.Peer) bool {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		return now.After(l.backoffs[p.Address])
+	}
+}
+
 // askReader asks a reader for its load and adds what it answers. It reports whether that is what
 // a reader of its zone has.
 func (l *load) askReader(ctx context.Context, p follower.Peer) bool {
@@ -113,11 +122,21 @@
 func (l *load) requestLoad(ctx context.Context, p follower.Peer) (aggregator.Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, readerTimeout)
 	defer cancel()
-	query := url.Values{zoneParameter: {l.balancer.settings.AvailabilityZone}}
+	l.mu.Lock()
+	combining := l.combining
+	l.mu.Unlock()
+	query := url.Values{}
+	if combining {
+		query.Set(zoneParameter, l.balancer.settings.AvailabilityZone)
+	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.Address+loadPath+"?"+query.Encode(), nil)
 	if err != nil {
 		return aggregator.Answer{}, errors.Wrapf(err, "requesting the load from peer %s", p.Name)
 	}
+	if !combining {
+		l.attach(p.Address, req.Header)
+	}
+	sent := l.balancer.ViewClock()
 	res, err := l.balancer.view.client.Do(req)
 	if err != nil {
 		return aggregator.Answer{}, errors.Wrapf(err, "requesting the load from peer %s", p.Name)
@@ -131,16 +150,20 @@
 		return aggregator.Answer{}, &PeerError{address: p.Address, status: res.StatusCode}
 	}
 	l.balancer.metrics.loadBytesReceived.Add(len(data))
+	l.takeAnswer(p.Address, res.Header, l.balancer.ViewClock().Sub(sent))
 	a, err := aggregator.DecodeAnswer(data)
 	return a, errors.Wrapf(err, "decoding the load of peer %s", p.Name)
 }
 
-// handle responds with the own zone's Summary and, to a balancer of the own zone, with this
-// balancer's half.
+// handle responds with the own zone's Summary and, to a reader of the own zone, with this
+// balancer's half. To a report it responds as a response with the view does.
 func (l *load) handle(w http.ResponseWriter, r *http.Request) {
 	b := l.balancer
 	own := b.settings.AvailabilityZone
 	now := b.ViewClock()
+	if l.takeRequest(r) {
+		l.answer(w.Header())
+	}
 	var a aggregator.Answer
 	l.mu.Lock()
 	if s, known := l.atlas.Picture(now).Zones[own]; known {
--- a/balancer/peers.go
+++ b/balancer/peers.go
@@ -94,7 +94,9 @@
 	}
 	client := v.client
 	if v.usable {
-		v.load.attach(address, req.Header)
+		if v.load.attach(address, req.Header) {
+			v.load.endDirect()
+		}
 	} else {
 		client = v.firstViewClient
 	}
