--- a/balancer/fixture_test.go
+++ b/balancer/fixture_test.go
@@ -163,7 +163,7 @@
 // no port twice.
 const (
 	firstPort       = 10000
-	portsPerProcess = 200
+	portsPerProcess = 280
 	portRanges      = 80
 )
 
