--- a/review/standin-2/deployment.go
+++ b/review/standin-2/deployment.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"net/netip"
@@ -50,6 +51,8 @@
 	done       chan struct{}
 	// net is the second byte of the deployment's addresses: 127.NET.0.0/16.
 	net byte
+	// claim is held while the deployment uses its addresses.
+	claim net.Listener
 
 	mu         sync.Mutex
 	violations []string
@@ -73,14 +76,17 @@
 	d := &deployment{
 		repository: repository, folder: folder, log: log, store: newStore(log), zones: zones, region: region, cores: cores,
 		heartbeat: heartbeat, done: make(chan struct{}), sent: map[string]netip.AddrPort{}, runs: map[string]int{}, holders: map[string]*server{},
-		net: byte(64 + os.Getpid()%128),
 	}
-	ports, err := freePorts(5)
+	if err := d.claimNetwork(); err != nil {
+		return nil, err
+	}
+	store := netip.AddrFrom4([4]byte{127, d.net, 200, 1})
+	ports, err := freePorts(store, 5)
 	if err != nil {
 		return nil, err
 	}
 	d.dataPort, d.readyPort, d.ctlPort, d.serverPort = ports[0], ports[1], ports[2], ports[3]
-	d.storeAddr = netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, d.net, 200, 1}), ports[4]).String()
+	d.storeAddr = netip.AddrPortFrom(store, ports[4]).String()
 	if err := d.store.listen(d.storeAddr); err != nil {
 		return nil, err
 	}
@@ -89,8 +95,26 @@
 	return d, err
 }
 
-// freePorts returns ports that nothing listens on now.
-func freePorts(n int) ([]uint16, error) {
+// metricsPort is the port at which a balancer serves its metrics, whatever its settings say.
+const metricsPort = 9464
+
+// claimNetwork chooses the deployment's addresses, which no other play uses at the same time: they
+// would meet at metricsPort.
+func (d *deployment) claimNetwork() error {
+	const first, count = 64, 128
+	for n := range count {
+		d.net = byte(first + (os.Getpid()+n)%count)
+		claim, err := net.Listen("tcp4", netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, d.net, 200, 3}), metricsPort).String())
+		if err == nil {
+			d.claim = claim
+			return nil
+		}
+	}
+	return errors.New("no loopback network is free")
+}
+
+// freePorts returns ports that nothing listens on now at a loopback address.
+func freePorts(address netip.Addr, n int) ([]uint16, error) {
 	var ports []uint16
 	var open []net.Listener
 	defer func() {
@@ -99,7 +123,7 @@
 		}
 	}()
 	for range n {
-		l, err := net.Listen("tcp4", "0.0.0.0:0")
+		l, err := net.Listen("tcp4", netip.AddrPortFrom(address, 0).String())
 		if err != nil {
 			return nil, err
 		}
@@ -200,6 +224,7 @@
 // stop ends all processes that the deployment started, and removes its folder.
 func (d *deployment) stop() {
 	close(d.done)
+	defer d.claim.Close()
 	for _, b := range d.balancers {
 		if b.cmd != nil && b.cmd.Process != nil {
 			_ = b.cmd.Process.Kill()
